Lay out the workspace, the design and the shared HTTP server

Cause: the repository is empty; every module needs the same build, the same words and the same messages before work on them can go on side by side.

Change: Maven workspace of 12 modules with formatter, Error Prone, NullAway and checkstyle; docs/design.md; the document and error-kind records; the gRPC messages with their committed code; an HTTP/1.1 and HTTP/2 server, JSON line logs and problem documents in kingcuproad-runtime.

Conclusion: the modules can be filled in independently.

--- /dev/null
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/package-info.java
@@ -0,0 +1,5 @@
+/** Settings and environment documents: parsing, checking, canonical form. */
+@NullMarked
+package org.kingcuproad.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The kingcuproadctl binary. */
+@NullMarked
+package org.kingcuproad.ctl;
+
+import org.jspecify.annotations.NullMarked;
