--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -43,13 +43,15 @@
         }
         String chosen = parser.getParsedCommand();
         if (chosen == null) {
-            parser.getConsole().println("usage: " + PROGRAM + " COMMAND [OPTIONS]");
+            out.println("usage: " + PROGRAM + " COMMAND [OPTIONS]");
             commands.forEach(command -> out.println("  " + command.name()));
             return ExitCode.USAGE;
         }
-        Command command =
-                (Command) parser.getCommands().get(chosen).getObjects().get(0);
-        return runCommand(command, out, err);
+        return commands.stream()
+                .filter(command -> command.name().equals(chosen))
+                .findFirst()
+                .map(command -> runCommand(command, out, err))
+                .orElse(ExitCode.USAGE);
     }
 
     private static ExitCode runCommand(Command command, PrintStream out, PrintStream err) {
