Add the request path of the entry

Cause: requests need a task that survives lost connections without running twice. Change: one task per request on the entry's event loop: choose, dispatch, resume at an offset after 1.5 s of silence, fence at the deadline, retry only what is safe; links to agents replace a silent channel instead of reusing it.

--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AgentMessages.java
@@ -0,0 +1,118 @@
+package org.kingcuproad.entry.request;
+
+import com.google.protobuf.ByteString;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.kingcuproad.model.Execution;
+import org.kingcuproad.runtime.trace.Tracing;
+import org.kingcuproad.wire.proto.Ack;
+import org.kingcuproad.wire.proto.Cancel;
+import org.kingcuproad.wire.proto.Dispatch;
+import org.kingcuproad.wire.proto.ExecuteRequest;
+import org.kingcuproad.wire.proto.FenceRequest;
+import org.kingcuproad.wire.proto.Header;
+import org.kingcuproad.wire.proto.Resume;
+import org.kingcuproad.wire.proto.RouteKind;
+
+/** Builds the messages that an entry sends to an agent about a request. */
+final class AgentMessages {
+
+    // Hop-by-hop headers (RFC 9110, section 7.6.1), the caller's credential, and headers that the agent sets itself.
+    private static final Set<String> NOT_FORWARDED = Set.of(
+            "connection",
+            "keep-alive",
+            "transfer-encoding",
+            "content-length",
+            "upgrade",
+            "te",
+            "host",
+            "expect",
+            "authorization",
+            Tracing.TRACEPARENT,
+            ResponseSink.REQUEST_ID_HEADER);
+
+    private AgentMessages() {}
+
+    static ExecuteRequest dispatch(RequestContext context, Attempt attempt, long nowNs) {
+        Dispatch.Builder dispatch = Dispatch.newBuilder()
+                .setRequestId(context.requestId())
+                .setAttempt(attempt.number)
+                .setIncarnation(attempt.incarnation)
+                .setDocumentRevision(context.revision())
+                .setDeadlineMs(Math.max(1, TimeUnit.NANOSECONDS.toMillis(context.deadlineNs() - nowNs)))
+                .setRouteKind(routeKind(context.target()))
+                .setIdempotent(context.target().idempotent())
+                .setIdempotencyKey(context.target().idempotent() ? "" : context.idempotencyKey())
+                .setMethod(context.exchange().method())
+                .setPath(context.exchange().target())
+                .setBody(ByteString.copyFrom(context.exchange().body()))
+                .setWorkspace(context.workspace())
+                .setTraceparent(Tracing.traceparent(attempt.span))
+                .addAllHeaders(forwarded(context.exchange().headers()));
+        return ExecuteRequest.newBuilder().setDispatch(dispatch).build();
+    }
+
+    static ExecuteRequest resume(RequestContext context, Attempt attempt, boolean hasHead) {
+        Resume.Builder resume = Resume.newBuilder()
+                .setRequestId(context.requestId())
+                .setAttempt(attempt.number)
+                .setIncarnation(attempt.incarnation)
+                .setOffset(attempt.nextOffset)
+                .setHasHead(hasHead);
+        return ExecuteRequest.newBuilder().setResume(resume).build();
+    }
+
+    static ExecuteRequest ack(long offset) {
+        return ExecuteRequest.newBuilder()
+                .setAck(Ack.newBuilder().setOffset(offset))
+                .build();
+    }
+
+    static ExecuteRequest cancel(String reason) {
+        return ExecuteRequest.newBuilder()
+                .setCancel(Cancel.newBuilder().setReason(reason))
+                .build();
+    }
+
+    static FenceRequest fence(RequestContext context, Attempt attempt) {
+        return FenceRequest.newBuilder()
+                .setRequestId(context.requestId())
+                .setAttempt(attempt.number)
+                .setIncarnation(attempt.incarnation)
+                .build();
+    }
+
+    static Execution execution(org.kingcuproad.wire.proto.Execution execution) {
+        return switch (execution) {
+            case EXECUTION_NOT_RUN -> Execution.NOT_RUN;
+            case EXECUTION_RAN -> Execution.RAN;
+            case EXECUTION_UNKNOWN, EXECUTION_UNSPECIFIED, UNRECOGNIZED -> Execution.UNKNOWN;
+        };
+    }
+
+    private static RouteKind routeKind(Target target) {
+        return switch (target) {
+            case Target.ModelTarget model -> RouteKind.ROUTE_KIND_MODEL;
+            case Target.ServiceTarget service -> RouteKind.ROUTE_KIND_SERVICE;
+        };
+    }
+
+    private static List<Header> forwarded(HttpHeaders headers) {
+        return headers.entries().stream()
+                .filter(AgentMessages::mayForward)
+                .map(header -> Header.newBuilder()
+                        .setName(header.getKey())
+                        .setValue(header.getValue())
+                        .build())
+                .toList();
+    }
+
+    private static boolean mayForward(Map.Entry<String, String> header) {
+        String name = header.getKey().toLowerCase(Locale.ROOT);
+        return !NOT_FORWARDED.contains(name) && !name.startsWith("x-http2-");
+    }
+}
--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/CallerHandler.java
@@ -0,0 +1,112 @@
+package org.kingcuproad.entry.request;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.kingcuproad.entry.document.DocumentInForce;
+import org.kingcuproad.model.EnvironmentDocument;
+import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.model.KingcuproadException;
+import org.kingcuproad.model.Workspace;
+import org.kingcuproad.runtime.http.HttpExchange;
+import org.kingcuproad.runtime.http.HttpHandler;
+import org.kingcuproad.runtime.http.Problems;
+import org.kingcuproad.runtime.trace.Tracing;
+
+/** Admits the requests of callers: credential, limits, target. */
+public final class CallerHandler implements HttpHandler {
+
+    private static final String IDEMPOTENCY_KEY = "idempotency-key";
+    private static final int MAX_KEY_CHARS = 255;
+
+    private final Supplier<Optional<DocumentInForce>> document;
+    private final RequestTasks tasks;
+    private final Tracing tracing;
+    private final LongSupplier clockNs;
+
+    /**
+     * Creates the handler.
+     *
+     * @param document gives the environment document in force
+     * @param tasks runs admitted requests
+     * @param tracing starts spans
+     * @param clockNs monotonic clock, in nanoseconds
+     */
+    public CallerHandler(
+            Supplier<Optional<DocumentInForce>> document, RequestTasks tasks, Tracing tracing, LongSupplier clockNs) {
+        this.document = document;
+        this.tasks = tasks;
+        this.tracing = tracing;
+        this.clockNs = clockNs;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        String requestId = UUID.randomUUID().toString();
+        try {
+            tasks.start(admit(exchange, requestId));
+        } catch (KingcuproadException refused) {
+            Problems.respond(exchange, refused.kind(), refused.detail(), requestId);
+        }
+    }
+
+    private RequestContext admit(HttpExchange exchange, String requestId) throws KingcuproadException {
+        long nowNs = clockNs.getAsLong();
+        DocumentInForce current = document.get()
+                .orElseThrow(() ->
+                        new KingcuproadException(ErrorKind.NO_UPSTREAM, "this entry has no environment document yet"));
+        Workspace workspace = authenticate(current, exchange);
+        EnvironmentDocument environment = current.versioned().document();
+        Target target = TargetResolver.resolve(environment, exchange.method(), exchange.path(), exchange.body());
+        checkBody(environment, exchange);
+        if (tasks.activeOf(workspace.name()) >= workspace.maxInFlight()) {
+            throw new KingcuproadException(
+                    ErrorKind.WORKSPACE_LIMIT,
+                    "workspace " + workspace.name() + " has " + workspace.maxInFlight() + " requests in progress");
+        }
+        Span span = tracing.start(
+                exchange.method() + " " + exchange.path(),
+                SpanKind.SERVER,
+                exchange.header(Tracing.TRACEPARENT).orElse(""));
+        span.setAttribute("requestId", requestId);
+        span.setAttribute("workspace", workspace.name());
+        return new RequestContext(
+                requestId,
+                workspace.name(),
+                target,
+                key(exchange),
+                exchange,
+                nowNs + TimeUnit.MILLISECONDS.toNanos(target.deadlineMs()),
+                nowNs,
+                current.versioned().revision(),
+                span);
+    }
+
+    private static Workspace authenticate(DocumentInForce current, HttpExchange exchange) throws KingcuproadException {
+        String authorization = exchange.header("authorization").orElse("");
+        return current.authenticator()
+                .authenticate(authorization)
+                .orElseThrow(() -> new KingcuproadException(
+                        ErrorKind.UNAUTHENTICATED, "a valid workspace credential is required"));
+    }
+
+    private static void checkBody(EnvironmentDocument environment, HttpExchange exchange) throws KingcuproadException {
+        int limit = environment.limits().maxBodyBytes();
+        if (exchange.body().length > limit) {
+            throw new KingcuproadException(ErrorKind.BODY_TOO_LARGE, "the limit is " + limit + " bytes");
+        }
+    }
+
+    private static String key(HttpExchange exchange) throws KingcuproadException {
+        String key = exchange.header(IDEMPOTENCY_KEY).orElse("");
+        if (key.length() > MAX_KEY_CHARS) {
+            throw new KingcuproadException(
+                    ErrorKind.BAD_REQUEST, "Idempotency-Key is longer than " + MAX_KEY_CHARS + " characters");
+        }
+        return key;
+    }
+}
--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -0,0 +1,332 @@
+package org.kingcuproad.entry.request;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.kingcuproad.entry.link.AgentLink;
+import org.kingcuproad.entry.link.LinkEvent;
+import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.model.Execution;
+import org.kingcuproad.runtime.log.StructuredLog;
+import org.kingcuproad.wire.proto.Chunk;
+import org.kingcuproad.wire.proto.End;
+import org.kingcuproad.wire.proto.ExecuteRequest;
+import org.kingcuproad.wire.proto.ExecuteResponse;
+import org.kingcuproad.wire.proto.Failed;
+import org.kingcuproad.wire.proto.FenceState;
+import org.kingcuproad.wire.proto.Refused;
+
+/**
+ * One request of a caller, from admission to the end of its response. Owned by the event loop of the entry; every
+ * method is called there.
+ */
+final class RequestTask {
+
+    private static final long SILENCE_NS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long HEARTBEAT_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long RESUME_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    // Half of the time for which the agent keeps a response that nobody reads.
+    private static final long RESUME_LIMIT_NS = TimeUnit.SECONDS.toNanos(5);
+    private static final long ACK_BYTES = 64 << 10;
+
+    private final RequestContext context;
+    private final RequestEnvironment environment;
+    private final ResponseSink sink;
+    private final Set<String> excluded = new HashSet<>();
+    private @Nullable Attempt attempt;
+    private int attempts;
+    private long ackedBytes;
+    private boolean fencing;
+    private boolean done;
+
+    RequestTask(RequestContext context, RequestEnvironment environment) {
+        this.context = context;
+        this.environment = environment;
+        this.sink = new ResponseSink(context.exchange(), context.requestId());
+    }
+
+    RequestContext context() {
+        return context;
+    }
+
+    /** Sends the first attempt. */
+    void start() {
+        context.exchange().onClosed(this::onCallerGone);
+        dispatch(environment.clockNs().getAsLong());
+    }
+
+    /**
+     * Checks the deadline, the heartbeats and due resumptions.
+     *
+     * @param nowNs the present time, in nanoseconds
+     */
+    void tick(long nowNs) {
+        Attempt current = attempt;
+        if (done) {
+            return;
+        }
+        if (nowNs >= context.deadlineNs()) {
+            onDeadline();
+            return;
+        }
+        if (current == null) {
+            return;
+        }
+        if (current.resumeAtNs != 0 && nowNs >= current.resumeAtNs) {
+            resume(current, nowNs);
+        } else if (current.stream != null && nowNs - current.lastHeardNs > SILENCE_NS) {
+            int silent = current.stream.channelGeneration();
+            onStreamLost(current, "no message for 1500 ms", nowNs);
+            current.link.replaceChannel(silent);
+        } else if (current.stream != null && nowNs - current.lastSentNs >= HEARTBEAT_NS) {
+            sendAck(current, nowNs);
+        }
+    }
+
+    private void dispatch(long nowNs) {
+        Optional<AgentLink> link = selectLink(nowNs);
+        if (link.isEmpty()) {
+            fail(ErrorKind.NO_UPSTREAM, "no upstream can take the request now");
+            return;
+        }
+        attempts++;
+        AgentLink agent = link.get();
+        Span span = environment.tracing().startChild("dispatch " + agent.upstream(), SpanKind.CLIENT, context.span());
+        long incarnation = agent.incarnation().orElseThrow();
+        Attempt next = new Attempt(attempts, agent.upstream(), agent, incarnation, nowNs, span);
+        attempt = next;
+        sink.reset();
+        environment.selector().dispatched(next.upstream, nowNs);
+        openStream(next);
+        send(next, AgentMessages.dispatch(context, next, nowNs), nowNs);
+    }
+
+    private Optional<AgentLink> selectLink(long nowNs) {
+        while (true) {
+            Optional<String> chosen =
+                    environment.selector().select(context.target(), context.idempotencyKey(), excluded, nowNs);
+            Optional<AgentLink> link = chosen.flatMap(environment.links()::connected);
+            if (chosen.isEmpty() || link.isPresent()) {
+                return link;
+            }
+            excluded.add(chosen.get());
+        }
+    }
+
+    private void openStream(Attempt current) {
+        int serial = ++current.streamSerial;
+        current.stream = current.link.execute(event -> onLinkEvent(current, serial, event));
+    }
+
+    private void onLinkEvent(Attempt source, int serial, LinkEvent event) {
+        // Drops frames of an earlier attempt or of a connection that was given up.
+        if (done || source != attempt || serial != source.streamSerial) {
+            return;
+        }
+        long nowNs = environment.clockNs().getAsLong();
+        switch (event) {
+            case LinkEvent.Received received -> onMessage(source, received.message(), nowNs);
+            case LinkEvent.Closed closed -> onStreamLost(source, closed.detail(), nowNs);
+        }
+    }
+
+    private void onMessage(Attempt current, ExecuteResponse message, long nowNs) {
+        current.lastHeardNs = nowNs;
+        current.lostSinceNs = 0;
+        switch (message.getMessageCase()) {
+            case ACCEPTED -> current.accepted = true;
+            case REFUSED -> onRefused(message.getRefused(), nowNs);
+            case HEAD -> sink.head(message.getHead());
+            case CHUNK -> onChunk(current, message.getChunk(), nowNs);
+            case END -> onEnd(current, message.getEnd(), nowNs);
+            case FAILED -> onFailed(message.getFailed(), nowNs);
+            case HEARTBEAT, MESSAGE_NOT_SET -> {}
+        }
+    }
+
+    private void onChunk(Attempt current, Chunk chunk, long nowNs) {
+        int size = chunk.getData().size();
+        if (chunk.getOffset() + size <= current.nextOffset) {
+            return;
+        }
+        if (chunk.getOffset() > current.nextOffset) {
+            onStreamLost(current, "gap in the response at byte " + current.nextOffset, nowNs);
+            return;
+        }
+        int skipped = (int) (current.nextOffset - chunk.getOffset());
+        current.nextOffset += size - skipped;
+        sink.chunk(chunk.getData().substring(skipped).toByteArray());
+        if (sink.consumedBytes() - ackedBytes >= ACK_BYTES) {
+            sendAck(current, nowNs);
+        }
+    }
+
+    private void onEnd(Attempt current, End end, long nowNs) {
+        if (end.getLength() != current.nextOffset || !sink.hasHead()) {
+            onStreamLost(current, "end mark at " + end.getLength() + ", have " + current.nextOffset, nowNs);
+            return;
+        }
+        send(current, AgentMessages.ack(current.nextOffset), nowNs);
+        endAttempt(AttemptOutcome.COMPLETE);
+        sink.complete();
+        finish("complete");
+    }
+
+    private void onRefused(Refused refused, long nowNs) {
+        ErrorKind kind = ErrorKind.ofLabel(refused.getKind()).orElse(ErrorKind.NO_UPSTREAM);
+        endAttempt(AttemptOutcome.REFUSED);
+        retryOrFail(kind, Execution.NOT_RUN, refused.getDetail(), nowNs);
+    }
+
+    private void onFailed(Failed failed, long nowNs) {
+        ErrorKind kind = ErrorKind.ofLabel(failed.getKind()).orElse(ErrorKind.UPSTREAM_LOST);
+        endAttempt(AttemptOutcome.FAILED);
+        retryOrFail(kind, AgentMessages.execution(failed.getExecution()), failed.getDetail(), nowNs);
+    }
+
+    private void onStreamLost(Attempt current, String detail, long nowNs) {
+        current.dropStream();
+        current.resumeAtNs = 0;
+        boolean firstLoss = current.lostSinceNs == 0;
+        if (firstLoss) {
+            current.lostSinceNs = nowNs;
+            current.resumeAtNs = nowNs;
+            tick(nowNs);
+            return;
+        }
+        boolean canMove = context.target().idempotent() && !sink.started();
+        if (canMove || nowNs - current.lostSinceNs > RESUME_LIMIT_NS) {
+            giveUp(detail, nowNs);
+        } else {
+            current.resumeAtNs = nowNs + RESUME_DELAY_NS;
+        }
+    }
+
+    private void resume(Attempt current, long nowNs) {
+        current.resumeAtNs = 0;
+        current.lastHeardNs = nowNs;
+        openStream(current);
+        send(current, AgentMessages.resume(context, current, sink.hasHead()), nowNs);
+    }
+
+    private void giveUp(String detail, long nowNs) {
+        ErrorKind kind = sink.started() ? ErrorKind.ANSWER_INCOMPLETE : ErrorKind.UPSTREAM_LOST;
+        endAttempt(AttemptOutcome.FAILED);
+        retryOrFail(kind, kind.execution(), detail, nowNs);
+    }
+
+    private void retryOrFail(ErrorKind kind, Execution execution, String detail, long nowNs) {
+        boolean idempotent = context.target().idempotent();
+        boolean allowed = RetryRule.mayRetry(kind, execution, idempotent, sink.started(), attempts);
+        if (allowed && environment.retryBudget().getAsBoolean()) {
+            environment.metrics().counter("requests.retried").inc();
+            dispatch(nowNs);
+        } else {
+            fail(kind, detail);
+        }
+    }
+
+    private void onDeadline() {
+        Attempt current = attempt;
+        if (current == null) {
+            fail(ErrorKind.DEADLINE_EXCEEDED_NOT_RUN, "the deadline passed before the request was sent");
+            return;
+        }
+        if (fencing) {
+            return;
+        }
+        fencing = true;
+        current.link.fence(AgentMessages.fence(context, current)).whenComplete((state, failure) -> {
+            boolean notRun = failure == null && state == FenceState.FENCE_STATE_FENCED_NOT_RUN;
+            onFenced(current, notRun);
+        });
+    }
+
+    private void onFenced(Attempt current, boolean notRun) {
+        if (done) {
+            return;
+        }
+        if (context.target().idempotent()) {
+            send(current, AgentMessages.cancel("deadline exceeded"), current.lastSentNs);
+        }
+        endAttempt(AttemptOutcome.CANCELLED);
+        ErrorKind kind = notRun ? ErrorKind.DEADLINE_EXCEEDED_NOT_RUN : ErrorKind.DEADLINE_EXCEEDED;
+        fail(kind, kind.meaning());
+    }
+
+    private void onCallerGone() {
+        Attempt current = attempt;
+        // A request that must not run twice is left to finish, so that its outcome is known to a retry.
+        if (done || !context.target().idempotent()) {
+            return;
+        }
+        if (current != null) {
+            send(current, AgentMessages.cancel("caller disconnected"), current.lastSentNs);
+            endAttempt(AttemptOutcome.CANCELLED);
+        }
+        finish("caller disconnected");
+    }
+
+    private void sendAck(Attempt current, long nowNs) {
+        ackedBytes = sink.consumedBytes();
+        send(current, AgentMessages.ack(ackedBytes), nowNs);
+    }
+
+    private void send(Attempt current, ExecuteRequest message, long nowNs) {
+        if (current.stream != null) {
+            current.lastSentNs = nowNs;
+            current.stream.send(message);
+        }
+    }
+
+    private void endAttempt(AttemptOutcome outcome) {
+        Attempt current = attempt;
+        if (current == null) {
+            return;
+        }
+        attempt = null;
+        ackedBytes = 0;
+        current.dropStream();
+        current.span.setAttribute("outcome", outcome.name());
+        current.span.end();
+        if (outcome != AttemptOutcome.COMPLETE) {
+            excluded.add(current.upstream);
+        }
+        environment
+                .selector()
+                .ended(
+                        current.upstream,
+                        outcome,
+                        current.startedNs,
+                        environment.clockNs().getAsLong());
+    }
+
+    private void fail(ErrorKind kind, String detail) {
+        sink.fail(kind, detail);
+        environment.metrics().counter("requests.failed." + kind.label()).inc();
+        finish(kind.label());
+    }
+
+    private void finish(String result) {
+        done = true;
+        long durationNs = environment.clockNs().getAsLong() - context.startedNs();
+        environment.metrics().timer("requests.duration").update(durationNs, TimeUnit.NANOSECONDS);
+        context.span().setAttribute("result", result);
+        context.span().end();
+        StructuredLog.info(
+                "request ended",
+                Map.of(
+                        "requestId", context.requestId(),
+                        "traceId", context.span().getSpanContext().getTraceId(),
+                        "workspace", context.workspace(),
+                        "result", result,
+                        "attempts", attempts,
+                        "durationMs", TimeUnit.NANOSECONDS.toMillis(durationNs)));
+        environment.onEnd().accept(this);
+    }
+}
