--- /dev/null
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Settings of the processes. */
+@NullMarked
+package org.kingcuproad.config.settings;
+
+import org.jspecify.annotations.NullMarked;
--- a/kingcuproad-model/src/main/java/org/kingcuproad/model/Limits.java
+++ b/kingcuproad-model/src/main/java/org/kingcuproad/model/Limits.java
@@ -9,6 +9,7 @@
  * @param retryBudgetRatio attempts beyond the first, as a ratio of requests
  * @param drainNoticeSeconds time between failing readiness and refusing new requests, in seconds
  * @param drainLimitSeconds longest time that a graceful shutdown waits for requests in progress, in seconds
+ * @param claimRetentionSeconds time after which the claim of an idempotency key expires, in seconds
  */
 public record Limits(
         int maxBodyBytes,
@@ -16,4 +17,5 @@
         int maxQueuedPerWorkspace,
         double retryBudgetRatio,
         int drainNoticeSeconds,
-        int drainLimitSeconds) {}
+        int drainLimitSeconds,
+        int claimRetentionSeconds) {}
