--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Deterministic choice of members: subsets of upstreams, relays and owners of claim shards. */
+@NullMarked
+package org.kingcuproad.policy.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
@@ -0,0 +1,161 @@
+package org.kingcuproad.policy.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.jspecify.annotations.Nullable;
+
+/** Upstreams of one group: which are available, their total load, and which return from an ejection next. */
+final class GroupState {
+
+    private final String dataCentre;
+    private final DecayingMean firstTokenMs;
+    private final List<UpstreamState> available = new ArrayList<>();
+    private final List<UpstreamState> local = new ArrayList<>();
+    private final PriorityQueue<UpstreamState> ejected = new PriorityQueue<>(
+            Comparator.<UpstreamState>comparingLong(state -> state.ejection().untilMs())
+                    .thenComparingInt(UpstreamState::slot));
+    private double totalLoad;
+    private long totalCapacity;
+    private int members;
+    private long nextProbeMs = Long.MIN_VALUE;
+
+    GroupState(String dataCentre, RouterSettings settings) {
+        this.dataCentre = dataCentre;
+        this.firstTokenMs = new DecayingMean(settings.latencyWindowMs());
+    }
+
+    void join(UpstreamState state, long nowMs) {
+        members++;
+        makeAvailable(state, nowMs);
+    }
+
+    void leave(UpstreamState state) {
+        members--;
+        makeUnavailable(state);
+        ejected.remove(state);
+    }
+
+    boolean hasMembers() {
+        return members > 0;
+    }
+
+    void makeAvailable(UpstreamState state, long nowMs) {
+        if (state.available()
+                || state.leaving()
+                || state.removed()
+                || state.ejection().ejected()) {
+            return;
+        }
+        state.setPosition(available.size());
+        available.add(state);
+        if (state.upstream().dataCentre().equals(dataCentre)) {
+            state.setLocalPosition(local.size());
+            local.add(state);
+        }
+        totalCapacity += state.capacity();
+        state.setCountedLoad(0);
+        refresh(state, nowMs);
+    }
+
+    /** Removes a state from the lists by moving the last element into its place, without a scan. */
+    void makeUnavailable(UpstreamState state) {
+        if (!state.available()) {
+            return;
+        }
+        UpstreamState last = available.removeLast();
+        if (last != state) {
+            available.set(state.position(), last);
+            last.setPosition(state.position());
+        }
+        if (state.localPosition() != UpstreamState.ABSENT) {
+            UpstreamState lastLocal = local.removeLast();
+            if (lastLocal != state) {
+                local.set(state.localPosition(), lastLocal);
+                lastLocal.setLocalPosition(state.localPosition());
+            }
+        }
+        state.setPosition(UpstreamState.ABSENT);
+        state.setLocalPosition(UpstreamState.ABSENT);
+        totalCapacity -= state.capacity();
+        totalLoad = available.isEmpty() ? 0 : totalLoad - state.countedLoad();
+    }
+
+    void eject(UpstreamState state, long nowMs, double random) {
+        makeUnavailable(state);
+        ejected.remove(state);
+        state.ejection().eject(nowMs, random);
+        ejected.add(state);
+    }
+
+    void returnNow(UpstreamState state, long nowMs) {
+        ejected.remove(state);
+        state.ejection().returnSlowly(nowMs);
+        makeAvailable(state, nowMs);
+    }
+
+    void returnDue(long nowMs) {
+        UpstreamState next = ejected.peek();
+        while (next != null && next.ejection().untilMs() <= nowMs) {
+            returnNow(next, nowMs);
+            next = ejected.peek();
+        }
+    }
+
+    /**
+     * Picks the upstream to try while all are ejected.
+     *
+     * @param nowMs current time, in milliseconds
+     * @param intervalMs shortest time between two probes, in milliseconds
+     * @return the one that is to return next, or null if there is none or the last probe is too recent
+     */
+    @Nullable
+    UpstreamState probe(long nowMs, long intervalMs) {
+        UpstreamState next = ejected.peek();
+        if (next == null || next.leaving() || nowMs < nextProbeMs) {
+            return null;
+        }
+        nextProbeMs = nowMs + intervalMs;
+        return next;
+    }
+
+    /**
+     * Brings the sum of loads up to date with one upstream.
+     *
+     * @param state an upstream of the group
+     * @param nowMs current time, in milliseconds
+     * @return the estimated load of the upstream
+     */
+    double refresh(UpstreamState state, long nowMs) {
+        double load = state.load(nowMs);
+        if (state.available()) {
+            totalLoad += load - state.countedLoad();
+            state.setCountedLoad(load);
+        }
+        return load;
+    }
+
+    /**
+     * Returns the highest load that an upstream may reach by affinity.
+     *
+     * @param state an upstream of the group
+     * @param factor multiple of the mean load
+     * @return the bound including the request that is being routed, in proportion to the upstream's capacity
+     */
+    double loadBound(UpstreamState state, double factor) {
+        return Math.ceil(factor * (totalLoad + 1) * state.capacity() / Math.max(1, totalCapacity));
+    }
+
+    List<UpstreamState> available() {
+        return available;
+    }
+
+    List<UpstreamState> local() {
+        return local;
+    }
+
+    DecayingMean firstTokenMs() {
+        return firstTokenMs;
+    }
+}
--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/RequestFeatures.java
@@ -0,0 +1,31 @@
+package org.kingcuproad.policy.routing;
+
+import java.util.Set;
+
+/**
+ * What routing looks at in a request.
+ *
+ * @param group model group or service that the request is for
+ * @param prefix hash chain over the prompt, or {@link PromptPrefix#none()}
+ * @param workspace workspace of the caller, which is repeated by {@code explain} and does not affect the choice
+ * @param excludedUpstreams upstreams that must not be chosen, such as those that failed an earlier attempt
+ */
+public record RequestFeatures(String group, PromptPrefix prefix, String workspace, Set<String> excludedUpstreams) {
+
+    /** Copies the set, so that the value is immutable. */
+    public RequestFeatures {
+        excludedUpstreams = Set.copyOf(excludedUpstreams);
+    }
+
+    /**
+     * Describes a first attempt, which excludes no upstream.
+     *
+     * @param group model group or service that the request is for
+     * @param prefix hash chain over the prompt
+     * @param workspace workspace of the caller
+     * @return the features
+     */
+    public static RequestFeatures firstAttempt(String group, PromptPrefix prefix, String workspace) {
+        return new RequestFeatures(group, prefix, workspace, Set.of());
+    }
+}
