--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/Order.java
@@ -0,0 +1,21 @@
+package org.kingcuproad.policy.claim;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the agent needs of a dispatch to decide whether it may run.
+ *
+ * @param requestId identifier that the entry generated; every attempt of a request carries the same
+ * @param attempt number of the attempt
+ * @param incarnation incarnation the entry chose; zero means any, which only idempotent requests may say
+ * @param idempotent whether the request may run more than once
+ * @param key idempotency key of the caller, or absent
+ * @param requestDigest 64-bit digest of workspace, method, path and body
+ */
+public record Order(
+        String requestId,
+        int attempt,
+        long incarnation,
+        boolean idempotent,
+        @Nullable String key,
+        long requestDigest) {}
--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/package-info.java
@@ -0,0 +1,5 @@
+/** At most one run of an order: the execution record of an agent and the claim log in the store. */
+@NullMarked
+package org.kingcuproad.policy.claim;
+
+import org.jspecify.annotations.NullMarked;
