--- /dev/null
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
@@ -0,0 +1,95 @@
+package org.kingcuproad.agent;
+
+/**
+ * What an agent is told at its start.
+ *
+ * @param upstream name of the upstream beside the agent
+ * @param upstreamUrl base URL of the upstream, without a slash at the end
+ * @param reportsLoad whether the upstream serves the load report of a model engine
+ * @param host IP address to listen on
+ * @param port port of the gRPC service, or 0 for any free one
+ * @param adminPort port of the admin endpoints, or 0 for any free one
+ * @param incarnation random number that distinguishes this start of the agent from all others
+ * @param maxConcurrent requests that may run at the same time; further ones are refused
+ * @param timing intervals and limits of time
+ */
+public record AgentOptions(
+        String upstream,
+        String upstreamUrl,
+        boolean reportsLoad,
+        String host,
+        int port,
+        int adminPort,
+        long incarnation,
+        int maxConcurrent,
+        AgentTiming timing) {
+
+    private static final int DEFAULT_MAX_CONCURRENT = 32;
+
+    /**
+     * Creates options of an agent on free ports of the loopback address.
+     *
+     * @param upstream name of the upstream beside the agent
+     * @param upstreamUrl base URL of the upstream, without a slash at the end
+     * @param incarnation random number that distinguishes this start of the agent from all others
+     * @return the options
+     */
+    public static AgentOptions of(String upstream, String upstreamUrl, long incarnation) {
+        return new AgentOptions(
+                upstream,
+                upstreamUrl,
+                false,
+                "127.0.0.1",
+                0,
+                0,
+                incarnation,
+                DEFAULT_MAX_CONCURRENT,
+                AgentTiming.standard());
+    }
+
+    /**
+     * Replaces the addresses.
+     *
+     * @param newHost IP address to listen on
+     * @param newPort port of the gRPC service, or 0 for any free one
+     * @param newAdminPort port of the admin endpoints, or 0 for any free one
+     * @return a copy with the addresses
+     */
+    public AgentOptions withListen(String newHost, int newPort, int newAdminPort) {
+        return new AgentOptions(
+                upstream, upstreamUrl, reportsLoad, newHost, newPort, newAdminPort, incarnation, maxConcurrent, timing);
+    }
+
+    /**
+     * Sets whether the agent asks the upstream for its load.
+     *
+     * @param newReportsLoad whether the upstream serves the load report of a model engine
+     * @return a copy with the choice
+     */
+    public AgentOptions withReportsLoad(boolean newReportsLoad) {
+        return new AgentOptions(
+                upstream, upstreamUrl, newReportsLoad, host, port, adminPort, incarnation, maxConcurrent, timing);
+    }
+
+    /**
+     * Replaces the limit of concurrent requests.
+     *
+     * @param newMaxConcurrent requests that may run at the same time
+     * @return a copy with the limit
+     */
+    public AgentOptions withMaxConcurrent(int newMaxConcurrent) {
+        return new AgentOptions(
+                upstream, upstreamUrl, reportsLoad, host, port, adminPort, incarnation, newMaxConcurrent, timing);
+    }
+
+    /**
+     * Replaces the intervals and limits of time.
+     *
+     * @param newTiming intervals and limits of time
+     * @return a copy with the timing
+     */
+    public AgentOptions withTiming(AgentTiming newTiming) {
+        return new AgentOptions(
+                upstream, upstreamUrl, reportsLoad, host, port, adminPort, incarnation, maxConcurrent, newTiming);
+    }
+}
--- /dev/null
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -0,0 +1,69 @@
+package org.kingcuproad.agent;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.io.IOException;
+import java.time.Duration;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.RequestBuilder;
+import org.kingcuproad.wire.proto.Dispatch;
+
+/** Sends requests to the upstream beside the agent. */
+final class UpstreamClient {
+
+    private static final String REQUEST_ID = "X-Request-Id";
+    private static final String TRACEPARENT = "traceparent";
+
+    // Shorter than the idle limit of common servers, so that a request rarely meets a connection that is being closed.
+    private static final Duration POOLED_IDLE = Duration.ofSeconds(4);
+
+    private final AsyncHttpClient client;
+    private final String baseUrl;
+
+    UpstreamClient(EventLoopGroup eventLoops, String baseUrl, AgentTiming timing) {
+        this.baseUrl = baseUrl;
+        this.client = new DefaultAsyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
+                .setEventLoopGroup(eventLoops)
+                .setConnectTimeout(Duration.ofMillis(timing.connectLimitMs()))
+                .setRequestTimeout(Duration.ZERO)
+                .setReadTimeout(Duration.ZERO)
+                .setPooledConnectionIdleTimeout(POOLED_IDLE)
+                // A repeated attempt could run a request twice, so a failure always reaches the run.
+                .setMaxRequestRetry(0)
+                .setFollowRedirect(false)
+                .setEnableAutomaticDecompression(false)
+                .setCookieStore(null)
+                .setTcpNoDelay(true)
+                .build());
+    }
+
+    UpstreamCall send(Dispatch dispatch, UpstreamListener listener) {
+        RequestBuilder request = new RequestBuilder(dispatch.getMethod(), true).setUrl(baseUrl + dispatch.getPath());
+        dispatch.getHeadersList().stream()
+                .filter(header -> !HopHeaders.contains(header.getName()))
+                .forEach(header -> request.addHeader(header.getName(), header.getValue()));
+        request.setHeader(REQUEST_ID, dispatch.getRequestId());
+        if (!dispatch.getTraceparent().isEmpty()) {
+            request.setHeader(TRACEPARENT, dispatch.getTraceparent());
+        }
+        if (!dispatch.getBody().isEmpty()) {
+            request.setBody(dispatch.getBody().toByteArray());
+        }
+        UpstreamHandler handler = new UpstreamHandler(listener);
+        client.executeRequest(request.build(), handler);
+        return handler;
+    }
+
+    void get(String path, UpstreamListener listener) {
+        RequestBuilder request = new RequestBuilder("GET", true)
+                .setUrl(baseUrl + path)
+                .setHeader(HttpHeaderNames.ACCEPT, "application/json");
+        client.executeRequest(request.build(), new UpstreamHandler(listener));
+    }
+
+    void close() throws IOException {
+        client.close();
+    }
+}
--- /dev/null
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
@@ -0,0 +1,145 @@
+package org.kingcuproad.agent;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.jspecify.annotations.Nullable;
+
+/** Passes the events of one upstream response on to its listener and controls the reading. */
+final class UpstreamHandler implements AsyncHandler<Boolean>, UpstreamCall {
+
+    private static final long LENGTH_NOT_DECLARED = -1;
+
+    private final UpstreamListener listener;
+    private @Nullable Channel channel;
+    private int status;
+    private long declaredLength = LENGTH_NOT_DECLARED;
+    private long receivedLength;
+    private boolean delimited = true;
+    private boolean ended;
+
+    UpstreamHandler(UpstreamListener listener) {
+        this.listener = listener;
+    }
+
+    @Override
+    public void onTcpConnectSuccess(java.net.InetSocketAddress address, Channel connected) {
+        use(connected);
+    }
+
+    @Override
+    public void onConnectionPooled(Channel connected) {
+        use(connected);
+    }
+
+    @Override
+    public void onRequestSend(NettyRequest request) {
+        if (!ended) {
+            listener.onSend();
+        }
+    }
+
+    @Override
+    public State onStatusReceived(HttpResponseStatus received) {
+        status = received.getStatusCode();
+        return state();
+    }
+
+    @Override
+    public State onHeadersReceived(HttpHeaders headers) {
+        if (ended) {
+            return State.ABORT;
+        }
+        String length = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+        declaredLength = length == null ? LENGTH_NOT_DECLARED : Long.parseLong(length.strip());
+        boolean chunked = headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true);
+        delimited = chunked || length != null || withoutBody(status);
+        List<Map.Entry<String, String>> passedOn = headers.entries().stream()
+                .filter(header -> !HopHeaders.contains(header.getKey()))
+                .toList();
+        listener.onHead(status, passedOn);
+        return state();
+    }
+
+    @Override
+    public State onBodyPartReceived(HttpResponseBodyPart part) {
+        if (ended) {
+            return State.ABORT;
+        }
+        byte[] data = part.getBodyPartBytes();
+        if (data.length > 0) {
+            receivedLength += data.length;
+            listener.onBody(data);
+        }
+        return state();
+    }
+
+    @Override
+    public Boolean onCompleted() {
+        resumeReading();
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        if (!delimited) {
+            listener.onFailure(new IOException("the end of the response cannot be told from a broken connection"));
+        } else if (declaredLength > receivedLength && receivedLength > 0) {
+            listener.onFailure(new IOException("the response is shorter than its Content-Length"));
+        } else {
+            listener.onComplete();
+        }
+        return true;
+    }
+
+    @Override
+    public void onThrowable(Throwable failure) {
+        if (!ended) {
+            ended = true;
+            listener.onFailure(failure);
+        }
+    }
+
+    @Override
+    public void pauseReading() {
+        if (channel != null) {
+            channel.config().setAutoRead(false);
+        }
+    }
+
+    @Override
+    public void resumeReading() {
+        if (channel != null) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    @Override
+    public void cancel() {
+        ended = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private void use(Channel connected) {
+        channel = connected;
+        if (ended) {
+            connected.close();
+        }
+    }
+
+    private State state() {
+        return ended ? State.ABORT : State.CONTINUE;
+    }
+
+    private static boolean withoutBody(int status) {
+        return status == 204 || status == 304;
+    }
+}
