--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AgentMessages.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AgentMessages.java
@@ -8,12 +8,17 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.kingcuproad.model.Execution;
+import org.kingcuproad.policy.stream.Bytes;
+import org.kingcuproad.policy.stream.HeaderField;
+import org.kingcuproad.policy.stream.ResponseFrame;
 import org.kingcuproad.runtime.trace.Tracing;
 import org.kingcuproad.wire.proto.Ack;
 import org.kingcuproad.wire.proto.Cancel;
+import org.kingcuproad.wire.proto.Chunk;
 import org.kingcuproad.wire.proto.Dispatch;
 import org.kingcuproad.wire.proto.ExecuteRequest;
 import org.kingcuproad.wire.proto.FenceRequest;
+import org.kingcuproad.wire.proto.Head;
 import org.kingcuproad.wire.proto.Header;
 import org.kingcuproad.wire.proto.Resume;
 import org.kingcuproad.wire.proto.RouteKind;
@@ -56,13 +61,13 @@
         return ExecuteRequest.newBuilder().setDispatch(dispatch).build();
     }
 
-    static ExecuteRequest resume(RequestContext context, Attempt attempt, boolean hasHead) {
+    static ExecuteRequest resume(RequestContext context, Attempt attempt) {
         Resume.Builder resume = Resume.newBuilder()
                 .setRequestId(context.requestId())
                 .setAttempt(attempt.number)
                 .setIncarnation(attempt.incarnation)
-                .setOffset(attempt.nextOffset)
-                .setHasHead(hasHead);
+                .setOffset(attempt.assembler.resumeOffset())
+                .setHasHead(attempt.assembler.hasHead());
         return ExecuteRequest.newBuilder().setResume(resume).build();
     }
 
@@ -86,6 +91,18 @@
                 .build();
     }
 
+    static ResponseFrame.Head head(Head head) {
+        List<HeaderField> headers = head.getHeadersList().stream()
+                .map(header -> new HeaderField(header.getName().toLowerCase(Locale.ROOT), header.getValue()))
+                .toList();
+        return new ResponseFrame.Head(head.getStatus(), headers);
+    }
+
+    static ResponseFrame.Chunk chunk(Chunk chunk) {
+        return new ResponseFrame.Chunk(
+                chunk.getOffset(), Bytes.wrap(chunk.getData().toByteArray()));
+    }
+
     static Execution execution(org.kingcuproad.wire.proto.Execution execution) {
         return switch (execution) {
             case EXECUTION_NOT_RUN -> Execution.NOT_RUN;
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Attempt.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Attempt.java
@@ -4,41 +4,45 @@
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.entry.link.AgentLink;
 import org.kingcuproad.entry.link.ExecuteStream;
+import org.kingcuproad.policy.stream.HeartbeatMonitor;
+import org.kingcuproad.policy.stream.ResponseAssembler;
 
 /** State of one attempt of a request at one incarnation of one agent. */
 final class Attempt {
 
     final int number;
-    final String upstream;
     final AgentLink link;
     final long incarnation;
     final long startedNs;
     final Span span;
+    final ResponseAssembler assembler;
 
     /** Counts the streams of the attempt, so that events of an earlier stream are told apart. */
     int streamSerial;
 
+    HeartbeatMonitor heartbeat;
+
     @Nullable
     ExecuteStream stream;
 
-    boolean accepted;
-    long nextOffset;
-    long lastHeardNs;
-    long lastSentNs;
     /** When the connection was lost, or 0 while it works. */
     long lostSinceNs;
+
     /** When to try to resume, or 0 if no resumption is due. */
     long resumeAtNs;
 
-    Attempt(int number, String upstream, AgentLink link, long incarnation, long startedNs, Span span) {
+    Attempt(int number, AgentLink link, long incarnation, long startedNs, Span span) {
         this.number = number;
-        this.upstream = upstream;
         this.link = link;
         this.incarnation = incarnation;
         this.startedNs = startedNs;
         this.span = span;
-        this.lastHeardNs = startedNs;
-        this.lastSentNs = startedNs;
+        this.assembler = new ResponseAssembler(number);
+        this.heartbeat = new HeartbeatMonitor(startedNs / RequestTask.NANOS_PER_MILLI);
+    }
+
+    String upstream() {
+        return link.upstream();
     }
 
     /** Stops listening to the current stream. */
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -9,12 +9,14 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.entry.link.AgentLink;
+import org.kingcuproad.entry.link.ExecuteStream;
 import org.kingcuproad.entry.link.LinkEvent;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.Execution;
+import org.kingcuproad.policy.stream.AssemblyStep;
+import org.kingcuproad.policy.stream.HeartbeatMonitor;
+import org.kingcuproad.policy.stream.ResponseFrame;
 import org.kingcuproad.runtime.log.StructuredLog;
-import org.kingcuproad.wire.proto.Chunk;
-import org.kingcuproad.wire.proto.End;
 import org.kingcuproad.wire.proto.ExecuteRequest;
 import org.kingcuproad.wire.proto.ExecuteResponse;
 import org.kingcuproad.wire.proto.Failed;
@@ -27,8 +29,8 @@
  */
 final class RequestTask {
 
-    private static final long SILENCE_NS = TimeUnit.MILLISECONDS.toNanos(1_500);
-    private static final long HEARTBEAT_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
     private static final long RESUME_DELAY_NS = TimeUnit.MILLISECONDS.toNanos(100);
     // Half of the time for which the agent keeps a response that nobody reads.
     private static final long RESUME_LIMIT_NS = TimeUnit.SECONDS.toNanos(5);
@@ -79,12 +81,19 @@
         }
         if (current.resumeAtNs != 0 && nowNs >= current.resumeAtNs) {
             resume(current, nowNs);
-        } else if (current.stream != null && nowNs - current.lastHeardNs > SILENCE_NS) {
-            int silent = current.stream.channelGeneration();
-            onStreamLost(current, "no message for 1500 ms", nowNs);
-            current.link.replaceChannel(silent);
-        } else if (current.stream != null && nowNs - current.lastSentNs >= HEARTBEAT_NS) {
-            sendAck(current, nowNs);
+        } else if (current.stream != null) {
+            checkHeartbeat(current, current.stream, nowNs);
+        }
+    }
+
+    private void checkHeartbeat(Attempt current, ExecuteStream stream, long nowNs) {
+        switch (current.heartbeat.check(nowNs / NANOS_PER_MILLI)) {
+            case WAIT -> {}
+            case SEND -> sendAck(current, nowNs);
+            case ABANDON -> {
+                onStreamLost(current, "no message for " + HeartbeatMonitor.DEAD_AFTER_MS + " ms", nowNs);
+                current.link.replaceChannel(stream.channelGeneration());
+            }
         }
     }
 
@@ -98,10 +107,10 @@
         AgentLink agent = link.get();
         Span span = environment.tracing().startChild("dispatch " + agent.upstream(), SpanKind.CLIENT, context.span());
         long incarnation = agent.incarnation().orElseThrow();
-        Attempt next = new Attempt(attempts, agent.upstream(), agent, incarnation, nowNs, span);
+        Attempt next = new Attempt(attempts, agent, incarnation, nowNs, span);
         attempt = next;
         sink.reset();
-        environment.selector().dispatched(next.upstream, nowNs);
+        environment.selector().dispatched(next.upstream(), nowNs);
         openStream(next);
         send(next, AgentMessages.dispatch(context, next, nowNs), nowNs);
     }
@@ -136,47 +145,47 @@
     }
 
     private void onMessage(Attempt current, ExecuteResponse message, long nowNs) {
-        current.lastHeardNs = nowNs;
+        current.heartbeat.received(nowNs / NANOS_PER_MILLI);
         current.lostSinceNs = 0;
         switch (message.getMessageCase()) {
-            case ACCEPTED -> current.accepted = true;
+            case ACCEPTED, HEARTBEAT, MESSAGE_NOT_SET -> {}
             case REFUSED -> onRefused(message.getRefused(), nowNs);
-            case HEAD -> sink.head(message.getHead());
-            case CHUNK -> onChunk(current, message.getChunk(), nowNs);
-            case END -> onEnd(current, message.getEnd(), nowNs);
             case FAILED -> onFailed(message.getFailed(), nowNs);
-            case HEARTBEAT, MESSAGE_NOT_SET -> {}
+            case HEAD -> onFrame(current, AgentMessages.head(message.getHead()), nowNs);
+            case CHUNK -> onFrame(current, AgentMessages.chunk(message.getChunk()), nowNs);
+            case END -> onFrame(current, new ResponseFrame.End(message.getEnd().getLength()), nowNs);
         }
     }
 
-    private void onChunk(Attempt current, Chunk chunk, long nowNs) {
-        int size = chunk.getData().size();
-        if (chunk.getOffset() + size <= current.nextOffset) {
-            return;
-        }
-        if (chunk.getOffset() > current.nextOffset) {
-            onStreamLost(current, "gap in the response at byte " + current.nextOffset, nowNs);
-            return;
+    private void onFrame(Attempt current, ResponseFrame frame, long nowNs) {
+        switch (current.assembler.accept(current.number, frame)) {
+            case AssemblyStep.Drop drop -> {}
+            case AssemblyStep.DeliverHead deliver -> sink.head(deliver.head());
+            case AssemblyStep.DeliverBytes deliver -> deliver(current, deliver, nowNs);
+            case AssemblyStep.Complete complete -> onComplete(current, nowNs);
+            case AssemblyStep.Break broken -> onBroken(broken, nowNs);
         }
-        int skipped = (int) (current.nextOffset - chunk.getOffset());
-        current.nextOffset += size - skipped;
-        sink.chunk(chunk.getData().substring(skipped).toByteArray());
+    }
+
+    private void deliver(Attempt current, AssemblyStep.DeliverBytes deliver, long nowNs) {
+        sink.chunk(deliver.data().toArray());
         if (sink.consumedBytes() - ackedBytes >= ACK_BYTES) {
             sendAck(current, nowNs);
         }
     }
 
-    private void onEnd(Attempt current, End end, long nowNs) {
-        if (end.getLength() != current.nextOffset || !sink.hasHead()) {
-            onStreamLost(current, "end mark at " + end.getLength() + ", have " + current.nextOffset, nowNs);
-            return;
-        }
-        send(current, AgentMessages.ack(current.nextOffset), nowNs);
+    private void onComplete(Attempt current, long nowNs) {
+        send(current, AgentMessages.ack(current.assembler.resumeOffset()), nowNs);
         endAttempt(AttemptOutcome.COMPLETE);
         sink.complete();
         finish("complete");
     }
 
+    private void onBroken(AssemblyStep.Break broken, long nowNs) {
+        endAttempt(AttemptOutcome.FAILED);
+        retryOrFail(broken.kind(), broken.kind().execution(), broken.detail(), nowNs);
+    }
+
     private void onRefused(Refused refused, long nowNs) {
         ErrorKind kind = ErrorKind.ofLabel(refused.getKind()).orElse(ErrorKind.NO_UPSTREAM);
         endAttempt(AttemptOutcome.REFUSED);
@@ -209,9 +218,9 @@
 
     private void resume(Attempt current, long nowNs) {
         current.resumeAtNs = 0;
-        current.lastHeardNs = nowNs;
+        current.heartbeat = new HeartbeatMonitor(nowNs / NANOS_PER_MILLI);
         openStream(current);
-        send(current, AgentMessages.resume(context, current, sink.hasHead()), nowNs);
+        send(current, AgentMessages.resume(context, current), nowNs);
     }
 
     private void giveUp(String detail, long nowNs) {
@@ -252,7 +261,7 @@
             return;
         }
         if (context.target().idempotent()) {
-            send(current, AgentMessages.cancel("deadline exceeded"), current.lastSentNs);
+            send(current, AgentMessages.cancel("deadline exceeded"), context.deadlineNs());
         }
         endAttempt(AttemptOutcome.CANCELLED);
         ErrorKind kind = notRun ? ErrorKind.DEADLINE_EXCEEDED_NOT_RUN : ErrorKind.DEADLINE_EXCEEDED;
@@ -266,7 +275,10 @@
             return;
         }
         if (current != null) {
-            send(current, AgentMessages.cancel("caller disconnected"), current.lastSentNs);
+            send(
+                    current,
+                    AgentMessages.cancel("caller disconnected"),
+                    environment.clockNs().getAsLong());
             endAttempt(AttemptOutcome.CANCELLED);
         }
         finish("caller disconnected");
@@ -279,7 +291,7 @@
 
     private void send(Attempt current, ExecuteRequest message, long nowNs) {
         if (current.stream != null) {
-            current.lastSentNs = nowNs;
+            current.heartbeat.sent(nowNs / NANOS_PER_MILLI);
             current.stream.send(message);
         }
     }
@@ -295,12 +307,12 @@
         current.span.setAttribute("outcome", outcome.name());
         current.span.end();
         if (outcome != AttemptOutcome.COMPLETE) {
-            excluded.add(current.upstream);
+            excluded.add(current.upstream());
         }
         environment
                 .selector()
                 .ended(
-                        current.upstream,
+                        current.upstream(),
                         outcome,
                         current.startedNs,
                         environment.clockNs().getAsLong());
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/ResponseSink.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/ResponseSink.java
@@ -5,14 +5,12 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.stream.ResponseFrame;
 import org.kingcuproad.runtime.http.HttpExchange;
 import org.kingcuproad.runtime.http.Problems;
-import org.kingcuproad.wire.proto.Head;
-import org.kingcuproad.wire.proto.Header;
 
 /**
  * Passes the response of an upstream to the caller. A small response is held back until it is complete, so that a break
@@ -47,20 +45,16 @@
         return started;
     }
 
-    boolean hasHead() {
-        return status != 0;
-    }
-
     /** Returns the number of body bytes that were handed to the caller's connection or are held here. */
     long consumedBytes() {
         return writtenBytes + held.size();
     }
 
-    void head(Head head) {
-        status = head.getStatus();
-        headers = head.getHeadersList().stream()
-                .filter(header -> !NOT_FORWARDED.contains(header.getName().toLowerCase(Locale.ROOT)))
-                .map(ResponseSink::entry)
+    void head(ResponseFrame.Head head) {
+        status = head.status();
+        headers = head.headers().stream()
+                .filter(header -> !NOT_FORWARDED.contains(header.name()))
+                .map(header -> Map.entry(header.name(), header.value()))
                 .toList();
         eventStream = headers.stream().anyMatch(ResponseSink::isEventStream);
     }
@@ -129,10 +123,6 @@
         }
     }
 
-    private static Map.Entry<String, String> entry(Header header) {
-        return Map.entry(header.getName().toLowerCase(Locale.ROOT), header.getValue());
-    }
-
     private static boolean isEventStream(Map.Entry<String, String> header) {
         return header.getKey().equals("content-type") && header.getValue().startsWith(EVENT_STREAM);
     }
