--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -178,7 +178,7 @@
         send(current, AgentMessages.ack(current.assembler.resumeOffset()), nowNs);
         endAttempt(AttemptOutcome.COMPLETE);
         sink.complete();
-        finish("complete");
+        finish("complete", "");
     }
 
     private void onBroken(AssemblyStep.Break broken, long nowNs) {
@@ -281,7 +281,7 @@
                     environment.clockNs().getAsLong());
             endAttempt(AttemptOutcome.CANCELLED);
         }
-        finish("caller disconnected");
+        finish("caller disconnected", "");
     }
 
     private void sendAck(Attempt current, long nowNs) {
@@ -321,10 +321,10 @@
     private void fail(ErrorKind kind, String detail) {
         sink.fail(kind, detail);
         environment.metrics().counter("requests.failed." + kind.label()).inc();
-        finish(kind.label());
+        finish(kind.label(), detail);
     }
 
-    private void finish(String result) {
+    private void finish(String result, String detail) {
         done = true;
         long durationNs = environment.clockNs().getAsLong() - context.startedNs();
         environment.metrics().timer("requests.duration").update(durationNs, TimeUnit.NANOSECONDS);
@@ -337,6 +337,7 @@
                         "traceId", context.span().getSpanContext().getTraceId(),
                         "workspace", context.workspace(),
                         "result", result,
+                        "detail", detail,
                         "attempts", attempts,
                         "durationMs", TimeUnit.NANOSECONDS.toMillis(durationNs)));
         environment.onEnd().accept(this);
--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpExchange.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpExchange.java
@@ -157,7 +157,7 @@
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
         prepare(response);
-        context.writeAndFlush(response);
+        context.channel().writeAndFlush(response);
     }
 
     /**
@@ -184,7 +184,7 @@
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         prepare(response);
-        context.writeAndFlush(response);
+        context.channel().writeAndFlush(response);
     }
 
     /**
@@ -194,7 +194,7 @@
      */
     public void write(byte[] data) {
         ByteBuf buffer = Unpooled.wrappedBuffer(data);
-        context.writeAndFlush(new DefaultHttpContent(buffer));
+        context.channel().writeAndFlush(new DefaultHttpContent(buffer));
     }
 
     /**
@@ -204,7 +204,8 @@
      * @param onWritten called on the event loop once the bytes were handed to the socket
      */
     public void write(byte[] data, Runnable onWritten) {
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)))
+        context.channel()
+                .writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)))
                 .addListener(future -> {
                     if (future.isSuccess()) {
                         onWritten.run();
@@ -214,7 +215,7 @@
 
     /** Marks a streamed response as complete. */
     public void finish() {
-        context.writeAndFlush(new DefaultLastHttpContent());
+        context.channel().writeAndFlush(new DefaultLastHttpContent());
     }
 
     /** Breaks off a streamed response, so that the caller sees an error: closes the connection or resets the stream. */
