--- a/kingcuproad-platform/src/main/java/org/kingcuproad/platform/package-info.java
+++ b/kingcuproad-platform/src/main/java/org/kingcuproad/platform/package-info.java
@@ -1,4 +1,4 @@
-/** Client of the platform object API. */
+/** Client of the platform's object API and of its list of VMs. */
 @NullMarked
 package org.kingcuproad.platform;
 
