Answer every request of a connection, not only the first

Cause: HttpExchange wrote to the context of ExchangeHandler, which skips that handler's own write method. It never saw a response end, so the second request of a connection waited for ever and draining never finished. Change: write to the channel.

--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpExchange.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpExchange.java
@@ -27,7 +27,9 @@
 /**
  * One request and the means to answer it, whole or as a stream.
  *
- * <p>The answering methods may be called from any thread; calls from one thread take effect in their order.
+ * <p>The answering methods may be called from any thread; calls from one thread take effect in their order. They write
+ * to the channel and not to the handler's own context, because {@link ExchangeHandler} must see the end of a response
+ * to begin with the next request.
  */
 public final class HttpExchange {
 
@@ -157,7 +159,7 @@
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
         prepare(response);
-        context.writeAndFlush(response);
+        context.channel().writeAndFlush(response);
     }
 
     /**
@@ -184,7 +186,7 @@
             HttpUtil.setTransferEncodingChunked(response, true);
         }
         prepare(response);
-        context.writeAndFlush(response);
+        context.channel().writeAndFlush(response);
     }
 
     /**
@@ -194,7 +196,7 @@
      */
     public void write(byte[] data) {
         ByteBuf buffer = Unpooled.wrappedBuffer(data);
-        context.writeAndFlush(new DefaultHttpContent(buffer));
+        context.channel().writeAndFlush(new DefaultHttpContent(buffer));
     }
 
     /**
@@ -204,7 +206,8 @@
      * @param onWritten called on the event loop once the bytes were handed to the socket
      */
     public void write(byte[] data, Runnable onWritten) {
-        context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)))
+        context.channel()
+                .writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data)))
                 .addListener(future -> {
                     if (future.isSuccess()) {
                         onWritten.run();
@@ -214,7 +217,7 @@
 
     /** Marks a streamed response as complete. */
     public void finish() {
-        context.writeAndFlush(new DefaultLastHttpContent());
+        context.channel().writeAndFlush(new DefaultLastHttpContent());
     }
 
     /** Breaks off a streamed response, so that the caller sees an error: closes the connection or resets the stream. */
