--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpExchange.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpExchange.java
@@ -27,7 +27,9 @@
 /**
  * One request and the means to answer it, whole or as a stream.
  *
- * <p>The answering methods may be called from any thread; calls from one thread take effect in their order.
+ * <p>The answering methods may be called from any thread; calls from one thread take effect in their order. They write
+ * to the channel and not to the handler's own context, because {@link ExchangeHandler} must see the end of a response
+ * to begin with the next request.
  */
 public final class HttpExchange {
 
