--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/Ticket.java
@@ -0,0 +1,66 @@
+package org.kingcuproad.policy.admission;
+
+/**
+ * A request that waits in the queue of its workspace.
+ *
+ * @param <T> the entry's type of request
+ */
+public final class Ticket<T> {
+
+    private final T request;
+    private final Flow<T> flow;
+    private final double cost;
+    private final long dispatchByMs;
+    private final long sequence;
+    private boolean waiting = true;
+
+    Ticket(T request, Flow<T> flow, double cost, long dispatchByMs, long sequence) {
+        this.request = request;
+        this.flow = flow;
+        this.cost = cost;
+        this.dispatchByMs = dispatchByMs;
+        this.sequence = sequence;
+    }
+
+    /**
+     * Returns the request.
+     *
+     * @return what the entry offered
+     */
+    public T request() {
+        return request;
+    }
+
+    /**
+     * Returns the workspace of the request.
+     *
+     * @return name of the workspace
+     */
+    public String workspace() {
+        return flow.name();
+    }
+
+    Flow<T> flow() {
+        return flow;
+    }
+
+    double cost() {
+        return cost;
+    }
+
+    long dispatchByMs() {
+        return dispatchByMs;
+    }
+
+    long sequence() {
+        return sequence;
+    }
+
+    boolean waiting() {
+        return waiting;
+    }
+
+    void stopWaiting() {
+        waiting = false;
+    }
+}
