--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/ExecutionRecord.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/ExecutionRecord.java
@@ -214,11 +214,12 @@
     /**
      * Tells what this incarnation knows of a key, for a claim that names it.
      *
+     * @param workspace workspace of the caller
      * @param key idempotency key
      * @return the waiting, running or ended request with the key, or empty if none is kept
      */
-    public Optional<DispatchDecision> findKey(String key) {
-        RequestState state = byKey.get(key);
+    public Optional<DispatchDecision> findKey(String workspace, String key) {
+        RequestState state = byKey.get(Order.scopedKey(workspace, key));
         if (state == null || state.phase == RequestState.Phase.FENCED) {
             return Optional.empty();
         }
@@ -276,15 +277,17 @@
         if (remembered.contains(FENCED_HASH.hashChars(order.requestId()))) {
             return refuse(ErrorKind.NO_UPSTREAM, "An earlier attempt of the request is fenced.");
         }
+        String key = order.scopedKey();
         boolean ran = remembered.contains(RAN_HASH.hashChars(order.requestId()))
-                || (order.key() != null && remembered.contains(KEY_HASH.hashChars(order.key())));
+                || (key != null && remembered.contains(KEY_HASH.hashChars(key)));
         return ran && !order.idempotent()
                 ? Optional.of(new DispatchDecision.JoinFinished(order.requestId(), Optional.empty()))
                 : Optional.empty();
     }
 
     private Optional<DispatchDecision> knownByKey(Order order) {
-        RequestState sameKey = order.key() == null ? null : byKey.get(order.key());
+        String key = order.scopedKey();
+        RequestState sameKey = key == null ? null : byKey.get(key);
         if (sameKey == null || sameKey.phase == RequestState.Phase.FENCED) {
             return Optional.empty();
         }
@@ -301,17 +304,16 @@
         if (full()) {
             return new DispatchDecision.Refuse(ErrorKind.OVERLOADED, "The execution record is full.");
         }
-        boolean claim =
-                order.key() != null && !order.idempotent() && bound(order.key()).isEmpty();
-        RequestState.Phase phase = claim ? RequestState.Phase.CLAIMING : RequestState.Phase.RUNNING;
+        String key = order.scopedKey();
+        boolean claim = key != null && !order.idempotent() && bound(order.key()).isEmpty();
         RequestState state =
-                new RequestState(order.requestId(), order.attempt(), order.key(), order.requestDigest(), phase, nowMs);
+                new RequestState(order, claim ? RequestState.Phase.CLAIMING : RequestState.Phase.RUNNING, nowMs);
         RequestState before = requests.put(order.requestId(), state);
         if (before != null) {
             state.fencedAttempt = before.fencedAttempt;
         }
-        if (order.key() != null) {
-            byKey.put(order.key(), state);
+        if (key != null) {
+            byKey.put(key, state);
         }
         active++;
         return claim ? new DispatchDecision.Claim() : new DispatchDecision.Run();
@@ -321,7 +323,8 @@
         if (remembered.contains(RAN_HASH.hashChars(requestId))) {
             return FenceDecision.RAN;
         }
-        RequestState state = new RequestState(requestId, attempt, null, 0, RequestState.Phase.FENCED, nowMs);
+        Order unseen = new Order(requestId, attempt, incarnation, false, "", null, 0);
+        RequestState state = new RequestState(unseen, RequestState.Phase.FENCED, nowMs);
         state.fence(attempt, nowMs);
         requests.put(requestId, state);
         ended.addLast(state);
@@ -347,7 +350,7 @@
         }
         if (state.phase == RequestState.Phase.FINISHED) {
             remembered.add(RAN_HASH.hashChars(state.requestId));
-            if (bound(state.key).isPresent()) {
+            if (state.key != null && state.bound) {
                 remembered.add(KEY_HASH.hashChars(state.key));
             }
         } else if (current) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/RequestState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/RequestState.java
@@ -20,6 +20,7 @@
 
     final String requestId;
     final @Nullable String key;
+    final boolean bound;
     final long requestDigest;
     Phase phase;
     int attempt;
@@ -27,11 +28,12 @@
     long changedAtMs;
     private @Nullable Outcome outcome;
 
-    RequestState(String requestId, int attempt, @Nullable String key, long requestDigest, Phase phase, long nowMs) {
-        this.requestId = requestId;
-        this.attempt = attempt;
-        this.key = key;
-        this.requestDigest = requestDigest;
+    RequestState(Order order, Phase phase, long nowMs) {
+        this.requestId = order.requestId();
+        this.attempt = order.attempt();
+        this.key = order.scopedKey();
+        this.bound = order.key() != null && BoundKey.parse(order.key()).isPresent();
+        this.requestDigest = order.requestDigest();
         this.phase = phase;
         this.changedAtMs = nowMs;
         this.fencedAttempt = -1;
