--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -64,6 +64,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of();
+        return List.of(new ExperimentPlacementCommand());
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerTarget.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerTarget.java
@@ -11,6 +11,10 @@
  */
 record LayerTarget(int layer, int[] slots, int moves, double improvement, double value) {
 
+    boolean isReached(ExpertMap map) {
+        return map.movesTo(layer, slots).isEmpty();
+    }
+
     double valuePerMove() {
         return value / Math.max(1, moves);
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementPlanner.java
@@ -86,9 +86,13 @@
         return ExpertMap.of(group, map.version() + 1, layers);
     }
 
+    /**
+     * Rates a target again under a newer outlook. A change that is under way is continued while it pays back, even if
+     * it is too small to be started.
+     */
     Optional<LayerTarget> rate(ExpertMap map, LayerTarget target, Outlook outlook) {
         LayerPlanner planner = new LayerPlanner(group, target.layer(), outlook.scenarios());
-        return target(planner, map.layer(target.layer()), target.slots(), target.layer(), outlook);
+        return target(planner, map.layer(target.layer()), target.slots(), target.layer(), outlook, 0);
     }
 
     private static int[] bestLayer(LayerPlanner planner, int[] current) {
@@ -100,7 +104,8 @@
 
     private Optional<LayerTarget> planLayer(int[] current, int layer, Outlook outlook) {
         LayerPlanner planner = new LayerPlanner(group, layer, outlook.scenarios());
-        if (planner.objective(current) < 1 + leastImprovement(outlook)) {
+        double least = leastImprovement(outlook);
+        if (planner.objective(current) < 1 + least) {
             return Optional.empty();
         }
         StateValue value = (improvement, moves) -> economics.value(improvement, horizonSeconds(outlook), moves);
@@ -108,20 +113,21 @@
         int[] refined = planner.improve(planner.pack(), REFINE_LIMIT, (improvement, moves) -> improvement);
         int[] packed = new RankAlignment(group.slotsPerRank(), current).align(refined, outlook.unevenRanks());
         return Optional.of(improved)
-                .flatMap(slots -> target(planner, current, slots, layer, outlook))
-                .map(best -> better(best, target(planner, current, packed, layer, outlook)))
-                .or(() -> target(planner, current, packed, layer, outlook));
+                .flatMap(slots -> target(planner, current, slots, layer, outlook, least))
+                .map(best -> better(best, target(planner, current, packed, layer, outlook, least)))
+                .or(() -> target(planner, current, packed, layer, outlook, least));
     }
 
     private static LayerTarget better(LayerTarget best, Optional<LayerTarget> other) {
         return other.filter(target -> target.value() > best.value()).orElse(best);
     }
 
-    private Optional<LayerTarget> target(LayerPlanner planner, int[] current, int[] slots, int layer, Outlook outlook) {
+    private Optional<LayerTarget> target(
+            LayerPlanner planner, int[] current, int[] slots, int layer, Outlook outlook, double least) {
         double improvement = planner.objective(current) - planner.objective(slots);
         int moves = LayerPlanner.distance(current, slots);
         double value = economics.value(improvement, horizonSeconds(outlook), moves);
-        if (moves == 0 || value <= 0 || improvement < leastImprovement(outlook)) {
+        if (moves == 0 || value <= 0 || improvement < least) {
             return Optional.empty();
         }
         return Optional.of(new LayerTarget(layer, slots, moves, improvement, value));
