--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -64,6 +64,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new ExperimentRoutingCommand());
+        return List.of(new ExperimentPlacementCommand(), new ExperimentRoutingCommand());
     }
 }
