Admit requests by fair queues and follow the store

Cause: the entry refused what it could not run at once, and took its document from tests only. Change: one fair queue a model or service with deadline-aware admission, the retry budget of the document, a watch on the stage's document, the VM list, the daemon's commands and commands for the engine and service stand-ins.

--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -64,6 +64,10 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new ExperimentPlacementCommand(), new ExperimentRoutingCommand());
+        return List.of(
+                new EmulateEngineCommand(),
+                new EmulateServiceCommand(),
+                new ExperimentPlacementCommand(),
+                new ExperimentRoutingCommand());
     }
 }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
@@ -9,9 +9,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.kingcuproad.config.settings.EntrySettings;
 import org.kingcuproad.entry.document.DocumentInForce;
+import org.kingcuproad.entry.document.DocumentWatch;
 import org.kingcuproad.entry.document.UpstreamDirectory;
+import org.kingcuproad.entry.document.VmListPoller;
 import org.kingcuproad.entry.link.AgentLinks;
 import org.kingcuproad.entry.request.CallerHandler;
 import org.kingcuproad.entry.request.RequestTasks;
@@ -20,6 +23,12 @@
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.model.Upstream;
 import org.kingcuproad.model.VersionedDocument;
+import org.kingcuproad.platform.HttpObjectStore;
+import org.kingcuproad.platform.ObjectStore;
+import org.kingcuproad.platform.ObjectStoreSettings;
+import org.kingcuproad.platform.Vm;
+import org.kingcuproad.platform.VmRole;
+import org.kingcuproad.platform.environment.StoredDocument;
 import org.kingcuproad.policy.routing.RouterSettings;
 import org.kingcuproad.policy.routing.UpstreamRouter;
 import org.kingcuproad.runtime.http.HttpServer;
@@ -32,6 +41,8 @@
 public final class Entry {
 
     private static final double TRACE_SAMPLE_RATIO = 1.0;
+    private static final int VM_POLL_INTERVAL_MS = 1_000;
+    private static final int DEFAULT_DRAIN_LIMIT_SECONDS = 60;
 
     private final EntrySettings settings;
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
@@ -39,6 +50,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private final RouterSelector selector;
     private final AgentLinks links;
+    private final RequestTasks tasks;
     private final UpstreamDirectory directory;
     private final HttpServer callers;
     private final HttpServer admin;
@@ -46,6 +58,8 @@
     private Map<String, HostPort> vmAddresses = Map.of();
     private volatile boolean draining;
     private volatile long revision;
+    private volatile int drainLimitSeconds = DEFAULT_DRAIN_LIMIT_SECONDS;
+    private final ObjectStore store;
 
     private Entry(EntrySettings settings) throws KingcuproadException {
         this.settings = settings;
@@ -55,10 +69,10 @@
                 settings.dataCentre(),
                 settings.name().hashCode());
         this.selector = new RouterSelector(router, System::nanoTime);
+        this.store = HttpObjectStore.open(ObjectStoreSettings.of(settings.platformUrl()), eventLoops);
         this.links = new AgentLinks(settings.name(), eventLoop, selector, System::nanoTime);
         Tracing tracing = Tracing.toLog(settings.name(), TRACE_SAMPLE_RATIO);
-        RequestTasks tasks =
-                new RequestTasks(eventLoop, links, selector, () -> true, tracing, metrics, System::nanoTime);
+        this.tasks = new RequestTasks(eventLoop, links, selector, tracing, metrics, System::nanoTime);
         CallerHandler handler = new CallerHandler(() -> document, tasks, tracing, System::nanoTime);
         this.callers = HttpServer.start(
                 eventLoops, HttpServerSettings.of(settings.listenHost(), settings.callerPort()), handler);
@@ -77,12 +91,35 @@
      */
     public static Entry start(EntrySettings settings) throws KingcuproadException {
         Entry entry = new Entry(settings);
+        entry.follow();
         StructuredLog.info(
                 "entry started",
                 Map.of("entry", settings.name(), "callerPort", entry.callerPort(), "adminPort", entry.adminPort()));
         return entry;
     }
 
+    private void follow() {
+        String key = StoredDocument.key(settings.environment(), settings.stage());
+        DocumentWatch watch = new DocumentWatch(store, key, eventLoop, this::applyDocument);
+        eventLoop.execute(() -> watch.setWanted(true));
+        new VmListPoller(store, settings.stage(), eventLoop, this::applyVms).start(VM_POLL_INTERVAL_MS);
+    }
+
+    private void applyVms(List<Vm> vms) {
+        applyAddresses(vms.stream()
+                .filter(vm -> vm.role() == VmRole.UPSTREAM)
+                .collect(Collectors.toMap(Vm::name, Vm::address, (first, second) -> second)));
+    }
+
+    /**
+     * Returns how long a graceful shutdown may wait, as the document in force says.
+     *
+     * @return the limit, in seconds
+     */
+    public int drainLimitSeconds() {
+        return drainLimitSeconds;
+    }
+
     /**
      * Returns the port for callers.
      *
@@ -113,7 +150,9 @@
             }
             document = Optional.of(DocumentInForce.of(versioned));
             revision = versioned.revision();
+            drainLimitSeconds = versioned.document().limits().drainLimitSeconds();
             StructuredLog.info("document in force", Map.of("entry", settings.name(), "revision", revision));
+            tasks.update(versioned.document());
             refreshUpstreams();
         });
     }
@@ -147,6 +186,7 @@
         callers.close();
         admin.close();
         eventLoop.execute(links::close);
+        store.close();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AdmissionQueues.java
@@ -0,0 +1,136 @@
+package org.kingcuproad.entry.request;
+
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.kingcuproad.model.EnvironmentDocument;
+import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.model.Model;
+import org.kingcuproad.model.Service;
+import org.kingcuproad.policy.admission.AdmissionDecision;
+import org.kingcuproad.policy.admission.AdmissionRequest;
+import org.kingcuproad.policy.admission.FairAdmission;
+import org.kingcuproad.policy.admission.QueueHead;
+import org.kingcuproad.policy.admission.Ticket;
+import org.kingcuproad.policy.admission.WorkspaceShare;
+
+/**
+ * The waiting requests of an entry, in one fair queue for each model and service. Owned by the event loop of the entry.
+ */
+final class AdmissionQueues {
+
+    private static final int MAX_QUEUED_PER_TARGET = 10_000;
+
+    private final Map<String, FairAdmission<RequestTask>> queues = new HashMap<>();
+    private final Map<RequestTask, Ticket<RequestTask>> tickets = new IdentityHashMap<>();
+    private List<WorkspaceShare> shares = List.of();
+
+    /**
+     * Takes the workspaces, models and services of a document.
+     *
+     * @param document the document in force
+     */
+    void update(EnvironmentDocument document) {
+        int maxQueued = document.limits().maxQueuedPerWorkspace();
+        shares = document.workspaces().stream()
+                .map(workspace -> WorkspaceShare.of(workspace, maxQueued))
+                .toList();
+        Stream<String> models = document.models().stream().map(Model::name);
+        Stream<String> services = document.services().stream().map(Service::name);
+        Stream.concat(models, services)
+                .forEach(name -> queues.computeIfAbsent(name, key -> new FairAdmission<>(MAX_QUEUED_PER_TARGET)));
+        queues.values().forEach(queue -> queue.update(shares));
+    }
+
+    /**
+     * Queues a request, and dispatches it at once if it is its turn.
+     *
+     * @param task the request
+     * @param nowNs the present time, in nanoseconds
+     */
+    void offer(RequestTask task, long nowNs) {
+        String name = task.context().target().name();
+        FairAdmission<RequestTask> queue = queues.get(name);
+        if (queue == null) {
+            task.refuse(ErrorKind.NO_UPSTREAM, "nothing serves " + name);
+            return;
+        }
+        switch (queue.offer(task, features(task), millis(nowNs))) {
+            case AdmissionDecision.Refused<RequestTask> refused -> task.refuse(refused.kind(), refused.detail());
+            case AdmissionDecision.Queued<RequestTask> queued -> {
+                tickets.put(task, queued.ticket());
+                pump(queue, nowNs);
+            }
+        }
+    }
+
+    /**
+     * Takes note that a request ended, and dispatches those that its end makes room for.
+     *
+     * @param task the request
+     * @param nowNs the present time, in nanoseconds
+     */
+    void ended(RequestTask task, long nowNs) {
+        FairAdmission<RequestTask> queue = queues.get(task.context().target().name());
+        Ticket<RequestTask> ticket = tickets.remove(task);
+        if (queue == null || ticket == null) {
+            return;
+        }
+        if (!queue.cancel(ticket) && task.dispatched()) {
+            queue.finished(task.context().workspace());
+        }
+        pump(queue, nowNs);
+    }
+
+    /**
+     * Dispatches waiting requests that upstreams have room for, and refuses those that became too late.
+     *
+     * @param nowNs the present time, in nanoseconds
+     */
+    void pumpAll(long nowNs) {
+        queues.values().forEach(queue -> pump(queue, nowNs));
+    }
+
+    private void pump(FairAdmission<RequestTask> queue, long nowNs) {
+        boolean room = true;
+        while (room) {
+            room = switch (queue.poll(millis(nowNs))) {
+                case QueueHead.Empty<RequestTask> empty -> false;
+                case QueueHead.Late<RequestTask> late -> {
+                    late.ticket().request().refuse(late.kind(), "no upstream had room in time");
+                    yield true;
+                }
+                case QueueHead.Ready<RequestTask> ready -> dispatch(queue, ready.ticket(), nowNs);
+            };
+        }
+    }
+
+    private static boolean dispatch(FairAdmission<RequestTask> queue, Ticket<RequestTask> ticket, long nowNs) {
+        RequestTask task = ticket.request();
+        return switch (task.selectLink(nowNs)) {
+            case LinkSelection.Saturated saturated -> false;
+            case LinkSelection.None none -> {
+                queue.cancel(ticket);
+                task.refuse(ErrorKind.NO_UPSTREAM, "no upstream can take the request now");
+                yield true;
+            }
+            case LinkSelection.Selected selected -> {
+                queue.dispatched(ticket, nowNs / RequestTask.NANOS_PER_MILLI);
+                task.dispatchTo(selected.link(), nowNs);
+                yield true;
+            }
+        };
+    }
+
+    private static AdmissionRequest features(RequestTask task) {
+        Target target = task.context().target();
+        return new AdmissionRequest(task.context().workspace(), target.cost(), target.firstByteLimitMs(), 0);
+    }
+
+    private static long millis(long nowNs) {
+        return TimeUnit.NANOSECONDS.toMillis(nowNs);
+    }
+}
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/CallerHandler.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/CallerHandler.java
@@ -63,11 +63,6 @@
         EnvironmentDocument environment = current.versioned().document();
         Target target = TargetResolver.resolve(environment, exchange.method(), exchange.path(), exchange.body());
         checkBody(environment, exchange);
-        if (tasks.activeOf(workspace.name()) >= workspace.maxInFlight()) {
-            throw new KingcuproadException(
-                    ErrorKind.WORKSPACE_LIMIT,
-                    "workspace " + workspace.name() + " has " + workspace.maxInFlight() + " requests in progress");
-        }
         Span span = tracing.start(
                 exchange.method() + " " + exchange.path(),
                 SpanKind.SERVER,
--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/LinkSelection.java
@@ -0,0 +1,20 @@
+package org.kingcuproad.entry.request;
+
+import org.kingcuproad.entry.link.AgentLink;
+
+/** A selection with the connection to the agent of the selected upstream. */
+sealed interface LinkSelection {
+
+    /**
+     * The attempt may go to this agent.
+     *
+     * @param link the connection
+     */
+    record Selected(AgentLink link) implements LinkSelection {}
+
+    /** Every upstream that could take the request runs as many as it may. */
+    record Saturated() implements LinkSelection {}
+
+    /** No upstream can take the request. */
+    record None() implements LinkSelection {}
+}
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestEnvironment.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestEnvironment.java
@@ -12,7 +12,8 @@
  *
  * @param links connections to the agents
  * @param selector chooses upstreams
- * @param retryBudget takes a unit of the retry budget; {@code false} if it is used up
+ * @param queues requests that wait for an upstream
+ * @param retryBudget takes an extra attempt out of the retry budget; {@code false} if it is used up
  * @param tracing starts spans
  * @param metrics metrics of the entry
  * @param clockNs monotonic clock, in nanoseconds
@@ -21,6 +22,7 @@
 record RequestEnvironment(
         AgentLinks links,
         UpstreamSelector selector,
+        AdmissionQueues queues,
         BooleanSupplier retryBudget,
         Tracing tracing,
         MetricRegistry metrics,
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -56,10 +56,10 @@
         return context;
     }
 
-    /** Sends the first attempt. */
+    /** Queues the request. */
     void start() {
         context.exchange().onClosed(this::onCallerGone);
-        dispatch(environment.clockNs().getAsLong());
+        environment.queues().offer(this, environment.clockNs().getAsLong());
     }
 
     /**
@@ -97,14 +97,22 @@
         }
     }
 
-    private void dispatch(long nowNs) {
-        Optional<AgentLink> link = selectLink(nowNs);
-        if (link.isEmpty()) {
-            fail(ErrorKind.NO_UPSTREAM, "no upstream can take the request now");
-            return;
+    private void retry(ErrorKind kind, String detail, long nowNs) {
+        switch (selectLink(nowNs)) {
+            case LinkSelection.Selected selected -> dispatchTo(selected.link(), nowNs);
+            case LinkSelection.Saturated saturated -> fail(kind, detail);
+            case LinkSelection.None none -> fail(kind, detail);
         }
+    }
+
+    /**
+     * Sends an attempt.
+     *
+     * @param agent the agent of the chosen upstream
+     * @param nowNs the present time, in nanoseconds
+     */
+    void dispatchTo(AgentLink agent, long nowNs) {
         attempts++;
-        AgentLink agent = link.get();
         Span span = environment.tracing().startChild("dispatch " + agent.upstream(), SpanKind.CLIENT, context.span());
         long incarnation = agent.incarnation().orElseThrow();
         Attempt next = new Attempt(attempts, agent, incarnation, nowNs, span);
@@ -115,15 +123,50 @@
         send(next, AgentMessages.dispatch(context, next, nowNs), nowNs);
     }
 
-    private Optional<AgentLink> selectLink(long nowNs) {
+    /**
+     * Chooses the agent of the next attempt.
+     *
+     * @param nowNs the present time, in nanoseconds
+     * @return the agent, or why there is none
+     */
+    LinkSelection selectLink(long nowNs) {
         while (true) {
-            Optional<String> chosen =
-                    environment.selector().select(context.target(), context.idempotencyKey(), excluded, nowNs);
-            Optional<AgentLink> link = chosen.flatMap(environment.links()::connected);
-            if (chosen.isEmpty() || link.isPresent()) {
-                return link;
+            switch (environment.selector().select(context, excluded, nowNs)) {
+                case Selection.Saturated saturated -> {
+                    return new LinkSelection.Saturated();
+                }
+                case Selection.None none -> {
+                    return new LinkSelection.None();
+                }
+                case Selection.Selected selected -> {
+                    Optional<AgentLink> link = environment.links().connected(selected.upstream());
+                    if (link.isPresent()) {
+                        return new LinkSelection.Selected(link.get());
+                    }
+                    excluded.add(selected.upstream());
+                }
             }
-            excluded.add(chosen.get());
+        }
+    }
+
+    /**
+     * Tells whether an attempt was sent.
+     *
+     * @return {@code true} after the first attempt
+     */
+    boolean dispatched() {
+        return attempts > 0;
+    }
+
+    /**
+     * Refuses the request before its first attempt.
+     *
+     * @param kind why, a kind that says "not run"
+     * @param detail what the caller is told
+     */
+    void refuse(ErrorKind kind, String detail) {
+        if (!done) {
+            fail(kind, detail);
         }
     }
 
@@ -232,9 +275,11 @@
     private void retryOrFail(ErrorKind kind, Execution execution, String detail, long nowNs) {
         boolean idempotent = context.target().idempotent();
         boolean allowed = RetryRule.mayRetry(kind, execution, idempotent, sink.started(), attempts);
-        if (allowed && environment.retryBudget().getAsBoolean()) {
+        if (allowed
+                && (kind == ErrorKind.SHUTTING_DOWN || environment.retryBudget().getAsBoolean())) {
+            // A refusal by a leaving agent is rare and cheap, and must not fail a caller during a planned stop.
             environment.metrics().counter("requests.retried").inc();
-            dispatch(nowNs);
+            retry(kind, detail, nowNs);
         } else {
             fail(kind, detail);
         }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTasks.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTasks.java
@@ -2,25 +2,27 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.kingcuproad.entry.link.AgentLinks;
+import org.kingcuproad.model.EnvironmentDocument;
+import org.kingcuproad.policy.admission.RetryBudget;
 import org.kingcuproad.runtime.trace.Tracing;
 
 /** The requests in progress at an entry. Owned by the event loop of the entry. */
 public final class RequestTasks {
 
     private static final int TICK_MS = 100;
+    private static final int MAX_SAVED_ATTEMPTS = 100;
 
     private final RequestEnvironment environment;
     private final Set<RequestTask> active = new LinkedHashSet<>();
-    private final Map<String, Integer> activeByWorkspace = new HashMap<>();
+    private final AdmissionQueues queues = new AdmissionQueues();
+    private RetryBudget retryBudget = new RetryBudget(0, 0);
+    private double retryBudgetRatio;
 
     /**
      * Creates an empty set and schedules its periodic checks.
@@ -28,7 +30,6 @@
      * @param eventLoop event loop of the entry
      * @param links connections to the agents
      * @param selector chooses upstreams
-     * @param retryBudget takes a unit of the retry budget; {@code false} if it is used up
      * @param tracing starts spans
      * @param metrics metrics of the entry
      * @param clockNs monotonic clock, in nanoseconds
@@ -37,11 +38,11 @@
             EventLoop eventLoop,
             AgentLinks links,
             UpstreamSelector selector,
-            BooleanSupplier retryBudget,
             Tracing tracing,
             MetricRegistry metrics,
             LongSupplier clockNs) {
-        this.environment = new RequestEnvironment(links, selector, retryBudget, tracing, metrics, clockNs, this::ended);
+        this.environment = new RequestEnvironment(
+                links, selector, queues, this::tryExtraAttempt, tracing, metrics, clockNs, this::ended);
         eventLoop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -53,18 +54,22 @@
     public void start(RequestContext context) {
         RequestTask task = new RequestTask(context, environment);
         active.add(task);
-        activeByWorkspace.merge(context.workspace(), 1, Integer::sum);
+        retryBudget.onRequest();
         task.start();
     }
 
     /**
-     * Counts the requests of a workspace.
+     * Takes the workspaces and limits of a document.
      *
-     * @param workspace name of the workspace
-     * @return its requests in progress
+     * @param document the document in force
      */
-    public int activeOf(String workspace) {
-        return activeByWorkspace.getOrDefault(workspace, 0);
+    public void update(EnvironmentDocument document) {
+        queues.update(document);
+        double ratio = document.limits().retryBudgetRatio();
+        if (ratio != retryBudgetRatio) {
+            retryBudgetRatio = ratio;
+            retryBudget = new RetryBudget(ratio, MAX_SAVED_ATTEMPTS);
+        }
     }
 
     /**
@@ -79,12 +84,16 @@
     private void tick() {
         long nowNs = environment.clockNs().getAsLong();
         List.copyOf(active).forEach(task -> task.tick(nowNs));
+        queues.pumpAll(nowNs);
+    }
+
+    private boolean tryExtraAttempt() {
+        return retryBudget.tryExtraAttempt();
     }
 
     private void ended(RequestTask task) {
         if (active.remove(task)) {
-            activeByWorkspace.computeIfPresent(
-                    task.context().workspace(), (name, count) -> count > 1 ? count - 1 : null);
+            queues.ended(task, environment.clockNs().getAsLong());
         }
     }
 }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
@@ -6,16 +6,16 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 import org.kingcuproad.entry.link.ReportListener;
 import org.kingcuproad.model.EnvironmentDocument;
 import org.kingcuproad.model.ModelGroup;
 import org.kingcuproad.model.Upstream;
 import org.kingcuproad.model.UpstreamKind;
 import org.kingcuproad.policy.claim.BoundKey;
-import org.kingcuproad.policy.membership.RendezvousHash;
+import org.kingcuproad.policy.claim.ClaimKey;
 import org.kingcuproad.policy.routing.CacheEvent;
 import org.kingcuproad.policy.routing.LoadReport;
+import org.kingcuproad.policy.routing.NoChoiceReason;
 import org.kingcuproad.policy.routing.Outcome;
 import org.kingcuproad.policy.routing.PromptPrefix;
 import org.kingcuproad.policy.routing.RequestFeatures;
@@ -27,11 +27,10 @@
 /** Chooses upstreams by load and prefix affinity, and by the owner of the claim shard for orders with a key. */
 public final class RouterSelector implements UpstreamSelector, ReportListener {
 
-    private static final int CLAIM_SHARDS = 16;
-
     private final UpstreamRouter router;
     private final LongSupplier clockNs;
     private List<Upstream> upstreams = List.of();
+    private String environment = "";
     private PromptPrefix selectedPrefix = PromptPrefix.none();
 
     /**
@@ -54,6 +53,7 @@
      */
     public void update(EnvironmentDocument document, Collection<Upstream> connected, long nowNs) {
         upstreams = List.copyOf(connected);
+        environment = document.environment();
         List<RoutedUpstream> routed = connected.stream()
                 .map(upstream -> new RoutedUpstream(
                         upstream.name(),
@@ -65,16 +65,11 @@
     }
 
     @Override
-    public Optional<String> select(Target target, String idempotencyKey, Set<String> excluded, long nowNs) {
-        return switch (target) {
-            case Target.ModelTarget model ->
-                route(model.model().name(), PromptPrefix.ofPrompt(model.prompt()), excluded, nowNs);
-            case Target.ServiceTarget service -> {
-                if (service.idempotent() || idempotencyKey.isEmpty()) {
-                    yield route(service.service(), PromptPrefix.none(), excluded, nowNs);
-                }
-                yield owner(service.service(), idempotencyKey, excluded);
-            }
+    public Selection select(RequestContext request, Set<String> excluded, long nowNs) {
+        return switch (request.target()) {
+            case Target.ModelTarget model -> route(request, PromptPrefix.ofPrompt(model.prompt()), excluded, nowNs);
+            case Target.ServiceTarget service when request.keyedOrder() -> owner(request, excluded);
+            case Target.ServiceTarget service -> route(request, PromptPrefix.none(), excluded, nowNs);
         };
     }
 
@@ -87,8 +82,9 @@
     public void ended(String upstream, AttemptOutcome outcome, long startedNs, long nowNs) {
         Outcome routed = switch (outcome) {
             case COMPLETE -> Outcome.SUCCEEDED;
-            case REFUSED, FAILED -> Outcome.FAILED;
-            case CANCELLED -> Outcome.CANCELLED;
+            case FAILED -> Outcome.FAILED;
+            // A refusal tells about load or a planned stop, which reports tell as well; it is no fault of the upstream.
+            case REFUSED, CANCELLED -> Outcome.CANCELLED;
         };
         router.onFinished(upstream, routed, (nowNs - startedNs) / 1e6, millis(nowNs));
     }
@@ -115,30 +111,34 @@
         router.onFailure(upstream, millis(clockNs.getAsLong()));
     }
 
-    private Optional<String> route(String group, PromptPrefix prefix, Set<String> excluded, long nowNs) {
+    private Selection route(RequestContext request, PromptPrefix prefix, Set<String> excluded, long nowNs) {
         selectedPrefix = prefix;
-        RequestFeatures features = new RequestFeatures(group, prefix, "", excluded);
+        RequestFeatures features = new RequestFeatures(request.target().name(), prefix, request.workspace(), excluded);
         return switch (router.choose(features, millis(nowNs))) {
-            case RoutingDecision.Chosen chosen -> Optional.of(chosen.upstream());
-            case RoutingDecision.None none -> Optional.empty();
+            case RoutingDecision.Chosen chosen -> new Selection.Selected(chosen.upstream());
+            case RoutingDecision.None none when none.reason() == NoChoiceReason.SATURATED -> new Selection.Saturated();
+            case RoutingDecision.None none -> new Selection.None();
         };
     }
 
-    private Optional<String> owner(String service, String key, Set<String> excluded) {
+    /** An order with a key goes to the owner of its claim shard, so that one agent sees all attempts of the caller. */
+    private Selection owner(RequestContext request, Set<String> excluded) {
         selectedPrefix = PromptPrefix.none();
-        Optional<BoundKey> bound = BoundKey.parse(key);
+        Optional<BoundKey> bound = BoundKey.parse(request.idempotencyKey());
         if (bound.isPresent()) {
-            return bound.map(BoundKey::upstream).filter(upstream -> !excluded.contains(upstream));
+            String upstream = bound.get().upstream();
+            return excluded.contains(upstream) ? new Selection.None() : new Selection.Selected(upstream);
         }
-        Set<String> candidates = upstreams.stream()
+        List<String> candidates = upstreams.stream()
                 .filter(upstream -> upstream.kind() == UpstreamKind.SERVICE)
-                .filter(upstream -> upstream.group().equals(service))
+                .filter(upstream -> upstream.group().equals(request.target().name()))
                 .map(Upstream::name)
-                .collect(Collectors.toSet());
-        String shard = "claim-shard-" + Math.floorMod(key.hashCode(), CLAIM_SHARDS);
-        return RendezvousHash.rank(shard, candidates).stream()
                 .filter(upstream -> !excluded.contains(upstream))
-                .findFirst();
+                .toList();
+        int shard = ClaimKey.of(request.workspace(), request.idempotencyKey()).shard();
+        return ClaimKey.owner(environment, shard, candidates)
+                .<Selection>map(Selection.Selected::new)
+                .orElseGet(Selection.None::new);
     }
 
     /** All groups of a model can run its requests, so the router balances over the model. */
--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Selection.java
@@ -0,0 +1,18 @@
+package org.kingcuproad.entry.request;
+
+/** Where an attempt may go now. */
+public sealed interface Selection {
+
+    /**
+     * The attempt may go to this upstream.
+     *
+     * @param upstream name of the upstream
+     */
+    record Selected(String upstream) implements Selection {}
+
+    /** Every upstream that could take the request runs as many as it may; one will have room later. */
+    record Saturated() implements Selection {}
+
+    /** No upstream can take the request. */
+    record None() implements Selection {}
+}
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Target.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Target.java
@@ -1,12 +1,32 @@
 package org.kingcuproad.entry.request;
 
-import java.util.List;
 import org.kingcuproad.model.Model;
 import org.kingcuproad.model.Route;
 
 /** What a request asks for, which decides the upstreams that can run it. */
 public sealed interface Target {
 
+    /**
+     * Returns the name of the model or service.
+     *
+     * @return the name, which selects the queue
+     */
+    String name();
+
+    /**
+     * Returns the expected work, relative to other requests of the same model or service.
+     *
+     * @return the work, greater than 0
+     */
+    double cost();
+
+    /**
+     * Returns the time within which the first byte of the response is useful.
+     *
+     * @return the time, in milliseconds
+     */
+    int firstByteLimitMs();
+
     /**
      * Tells whether the request may run more than once.
      *
@@ -49,6 +69,21 @@
      */
     record ServiceTarget(String service, Route route) implements Target {
 
+        @Override
+        public String name() {
+            return service;
+        }
+
+        @Override
+        public double cost() {
+            return 1;
+        }
+
+        @Override
+        public int firstByteLimitMs() {
+            return route.deadlineMs();
+        }
+
         @Override
         public boolean idempotent() {
             return route.idempotent();
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/TargetResolver.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/TargetResolver.java
@@ -4,12 +4,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import org.kingcuproad.model.EnvironmentDocument;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.model.Model;
-import org.kingcuproad.model.ModelGroup;
 import org.kingcuproad.model.Route;
 import org.kingcuproad.model.Service;
 
@@ -19,6 +17,7 @@
     /** Path of model requests. */
     public static final String CHAT_COMPLETIONS = "/v1/chat/completions";
 
+    private static final int DEFAULT_MAX_TOKENS = 256;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private TargetResolver() {}
@@ -58,12 +57,8 @@
                 .filter(candidate -> candidate.name().equals(name))
                 .findFirst()
                 .orElseThrow(() -> new KingcuproadException(ErrorKind.NOT_FOUND, "no model named \"" + name + "\""));
-        List<String> groups = document.modelGroups().stream()
-                .filter(group -> group.model().equals(name))
-                .map(ModelGroup::name)
-                .toList();
         byte[] prompt = request.path("messages").toString().getBytes(StandardCharsets.UTF_8);
-        return new Target.ModelTarget(model, groups, prompt);
+        return new Target.ModelTarget(model, prompt, request.path("max_tokens").asInt(DEFAULT_MAX_TOKENS));
     }
 
     private static JsonNode parse(byte[] body) throws KingcuproadException {
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/UpstreamSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/UpstreamSelector.java
@@ -1,6 +1,5 @@
 package org.kingcuproad.entry.request;
 
-import java.util.Optional;
 import java.util.Set;
 
 /** Chooses the upstream of each attempt and learns from how attempts end. Used on the event loop only. */
@@ -9,13 +8,12 @@
     /**
      * Chooses an upstream.
      *
-     * @param target what the request asks for
-     * @param idempotencyKey key of the caller, or an empty string
+     * @param request the request
      * @param excluded upstreams that already failed or refused this request
      * @param nowNs the present time, in nanoseconds
-     * @return the name of the upstream, or empty if none can take the request
+     * @return the upstream, or why there is none
      */
-    Optional<String> select(Target target, String idempotencyKey, Set<String> excluded, long nowNs);
+    Selection select(RequestContext request, Set<String> excluded, long nowNs);
 
     /**
      * Notes that an attempt was sent.
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,115 @@
+#!/usr/bin/env bash
+# Runs both deployments on loopback as separate processes: a platform stand-in, two entries in different data
+# centres, agents, engine and service stand-ins. Sends real requests, shows the responses and stops everything.
+# KINGCUPROAD_DEMO_KEEP=1 waits for Enter before stopping.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. scripts/select-jdk.sh
+if [ ! -f kingcuproad-daemon/target/kingcuproad.jar ] || [ ! -f kingcuproad-ctl/target/kingcuproadctl.jar ]; then
+  mvn -q -B -ntp -DskipTests package
+fi
+work=$(mktemp -d)
+pids=()
+host=127.0.0.1
+base_port=${KINGCUPROAD_DEMO_PORT:-21000}
+platform=http://$host:$base_port
+admin_secret=demo-operator
+admin_sha256=$(printf %s "$admin_secret" | sha256sum | cut -d' ' -f1)
+export KINGCUPROAD_ADMIN_CREDENTIAL=$admin_secret
+
+stop_all() {
+  # Entries first, then agents, then the stand-ins: each finishes its requests before what it depends on goes.
+  local pid
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+    pid=${pids[i]}
+    kill -TERM "$pid" 2>/dev/null || true
+    for _ in $(seq 100); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.1
+    done
+    kill -KILL "$pid" 2>/dev/null || true
+  done
+  rm -rf "$work"
+}
+trap stop_all EXIT
+
+run() { # name command...
+  local name=$1
+  shift
+  "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  pids+=($!)
+}
+
+wait_for() { # url
+  for _ in $(seq 300); do
+    if curl -sf -o /dev/null "$1"; then return; fi
+    sleep 0.1
+  done
+  echo "no answer from $1" >&2
+  tail -n 5 "$work"/*.log >&2
+  exit 1
+}
+
+register_vm() { # name role port data-centre
+  curl -sf -o /dev/null -X PUT "$platform/standin/vms/production/$1" \
+    -d "{\"role\":\"$2\",\"address\":\"$host:$3\",\"dataCentre\":\"$4\",\"state\":\"live\"}"
+}
+
+start_agent() { # environment upstream vm data-centre agent-port upstream-port relay-port
+  cat >"$work/$3.jsonc" <<JSON
+{ // Settings of the agent beside $2.
+  "upstream": "$2", "dataCentre": "$4", "environment": "$1", "stage": "production",
+  "listenHost": "$host", "agentPort": $5, "adminPort": $(($5 + 1)),
+  "upstreamUrl": "http://$host:$6", "platformUrl": "$platform", "relays": ["$host:$7"]
+}
+JSON
+  run "$3" bin/kingcuproad agent --settings "$work/$3.jsonc"
+  register_vm "$3" upstream "$5" "$4"
+}
+
+start_entry() { # environment name data-centre port
+  cat >"$work/$2.jsonc" <<JSON
+{ // Settings of an entry.
+  "name": "$2", "dataCentre": "$3", "environment": "$1", "stage": "production",
+  "listenHost": "$host", "callerPort": $4, "adminPort": $(($4 + 1)), "relayPort": $(($4 + 2)),
+  "platformUrl": "$platform", "adminCredentialSha256": "$admin_sha256"
+}
+JSON
+  run "$2" bin/kingcuproad entry --settings "$work/$2.jsonc"
+  register_vm "$2" entry $(($4 + 2)) "$3"
+}
+
+# Reads "name vm dataCentre" of the first upstreams of a kind from the document.
+upstreams() { # document kind count
+  bin/kingcuproadctl validate --canonical "$1" | python3 -c '
+import json, sys
+document = json.load(sys.stdin)
+chosen = [u for u in document["upstreams"] if u["kind"].lower() == sys.argv[1]][: int(sys.argv[2])]
+for u in chosen:
+    print(u["name"], u["vm"], u["dataCentre"])' "$2" "$3"
+}
+
+deploy() { # environment document first-port
+  local environment=$1 document=$2 port=$3 name vm centre
+  echo "== $environment: starting"
+  mapfile -t centres < <(bin/kingcuproadctl validate --canonical "$document" |
+    python3 -c 'import json,sys; print("\n".join(json.load(sys.stdin)["dataCentres"]))')
+  start_entry "$environment" "$environment-entry-1" "${centres[0]}" "$port"
+  start_entry "$environment" "$environment-entry-2" "${centres[1]}" $((port + 10))
+  local agent_port=$((port + 100)) standin_port=$((port + 200))
+  while read -r name vm centre; do
+    run "$environment-engine-$standin_port" bin/kingcuproadctl emulate-engine --port $standin_port
+    start_agent "$environment" "$name" "$vm" "$centre" $agent_port $standin_port $((port + 2))
+    agent_port=$((agent_port + 10)) standin_port=$((standin_port + 1))
+  done < <(upstreams "$document" model 3)
+  while read -r name vm centre; do
+    run "$environment-service-$standin_port" bin/kingcuproadctl emulate-service --port $standin_port
+    start_agent "$environment" "$name" "$vm" "$centre" $agent_port $standin_port $((port + 2))
+    agent_port=$((agent_port + 10)) standin_port=$((standin_port + 1))
+  done < <(upstreams "$document" service 2)
+  wait_for "http://$host:$((port + 1))/livez"
+  bin/kingcuproadctl trial --entry "http://$host:$((port + 1))" --environment "$environment" "$document"
+  bin/kingcuproadctl promote --entry "http://$host:$((port + 1))" --environment "$environment"
+  wait_for "http://$host:$((port + 1))/readyz"
+  wait_for "http://$host:$((port + 11))/readyz"
+}
