Read the token limit of model requests

Cause: the fair queues weigh requests by their work, which the target did not carry. Change: ModelTarget has maxTokens.

--- a/kingcuproad-daemon/src/main/java/org/kingcuproad/daemon/KingcuproadMain.java
+++ b/kingcuproad-daemon/src/main/java/org/kingcuproad/daemon/KingcuproadMain.java
@@ -27,7 +27,7 @@
         try {
             parser.parse(arguments);
         } catch (ParameterException failure) {
-            exit(EXIT_USAGE, failure.getMessage());
+            exit(EXIT_USAGE, String.valueOf(failure.getMessage()));
         }
         commands.stream()
                 .filter(command -> command.name().equals(parser.getParsedCommand()))
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Target.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Target.java
@@ -45,10 +45,25 @@
      * A request to a model.
      *
      * @param model the model
-     * @param groups names of the groups that run the model
      * @param prompt bytes that the prefix cache is keyed by
+     * @param maxTokens most tokens that the response may have
      */
-    record ModelTarget(Model model, List<String> groups, byte[] prompt) implements Target {
+    record ModelTarget(Model model, byte[] prompt, int maxTokens) implements Target {
+
+        @Override
+        public String name() {
+            return model.name();
+        }
+
+        @Override
+        public double cost() {
+            return Math.max(1, maxTokens);
+        }
+
+        @Override
+        public int firstByteLimitMs() {
+            return model.timeToFirstTokenMs();
+        }
 
         @Override
         public boolean idempotent() {
