Keep runs and responses in the agent across lost connections

Cause: the forwarding agent lost a run with its connection, ran a repeated dispatch twice and let AsyncHttpClient end each request after its first timer tick, because a request timeout of zero means "at once". Change: the agent carries out ExecutionRecord and ResponseBuffer: heartbeats, resume at an offset, acknowledgements, back-pressure, cancel, expiry, incarnation check, fence, deadline, idle limit, truthful failures, drain with immediate reports, admin endpoints, load poll, spans and a log line a run. AgentForwardingTest is replaced by the fault table, whose resume case at message 0 to 9 checks the same bytes and more.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
@@ -8,30 +8,59 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
+import org.kingcuproad.runtime.http.HttpServer;
+import org.kingcuproad.runtime.http.HttpServerSettings;
+import org.kingcuproad.runtime.http.OperationsHandler;
+import org.kingcuproad.runtime.log.StructuredLog;
 import org.kingcuproad.wire.proto.AgentReport;
 
 /** The process beside an upstream. gRPC, HTTP client and admin endpoints share one event loop, which owns all state. */
 public final class Agent {
 
+    // Bounds the error of every limit of time; the tightest one, 1,500 ms of silence, is to be noticed within 2 s.
+    private static final long TICK_MS = 100;
+
+    // A dead subscriber of reports is found by these pings, because it sends nothing itself.
+    private static final long KEEPALIVE_MS = 5_000;
+    private static final long KEEPALIVE_TIMEOUT_MS = 2_000;
+    private static final long MIN_CLIENT_KEEPALIVE_MS = 100;
+
     private final AgentOptions options;
+    private final LongSupplier clockMs;
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final EventLoop loop = eventLoops.next();
     private final CompletableFuture<Void> idle = new CompletableFuture<>();
-    private final RunCount count = new RunCount(() -> idle.complete(null));
-    private final Reports reports = new Reports(this::report);
+    private final Reports reports;
     private final UpstreamClient client;
+    private final AgentCore core;
+    private final @Nullable LoadPoll load;
     private final Server server;
+    private final HttpServer admin;
 
-    private Agent(AgentOptions options) throws KingcuproadException {
+    private Agent(AgentOptions options, LongSupplier clockMs) throws KingcuproadException {
         this.options = options;
-        this.client = new UpstreamClient(eventLoops, options.upstreamUrl(), options.timing());
+        this.clockMs = clockMs;
+        AgentTiming timing = options.timing();
+        this.client = new UpstreamClient(eventLoops, options.upstreamUrl(), timing);
+        this.core = new AgentCore(options, clockMs, client, UnavailableStore::new, () -> idle.complete(null));
+        this.load = options.reportsLoad() ? new LoadPoll(client, timing.reportIntervalMs(), clockMs.getAsLong()) : null;
+        this.reports = new Reports(this::report, timing.reportIntervalMs());
         this.server = listen();
-        long intervalMs = options.timing().reportIntervalMs();
-        loop.scheduleAtFixedRate(reports::publish, intervalMs, intervalMs, TimeUnit.MILLISECONDS);
+        this.admin = HttpServer.start(
+                eventLoops,
+                HttpServerSettings.of(options.host(), options.adminPort()),
+                OperationsHandler.standalone(core.metrics().registry(), this::unreadyReason));
+        loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        StructuredLog.info("agent started", fields());
     }
 
     /**
@@ -42,7 +71,19 @@
      * @throws KingcuproadException if an address can't be bound
      */
     public static Agent start(AgentOptions options) throws KingcuproadException {
-        return new Agent(options);
+        return start(options, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    /**
+     * Starts an agent with a clock.
+     *
+     * @param options what the agent is told
+     * @param clockMs monotonic time in milliseconds
+     * @return the running agent
+     * @throws KingcuproadException if an address can't be bound
+     */
+    static Agent start(AgentOptions options, LongSupplier clockMs) throws KingcuproadException {
+        return new Agent(options, clockMs);
     }
 
     /**
@@ -55,15 +96,25 @@
     }
 
     /**
-     * Leaves: tells all subscribers at once, refuses new work, lets running requests finish within the drain limit and
-     * then closes the agent.
+     * Returns the port of the admin endpoints.
+     *
+     * @return the TCP port
+     */
+    public int adminPort() {
+        return admin.port();
+    }
+
+    /**
+     * Leaves: tells all subscribers at once, refuses new work, lets running requests finish and their responses be read
+     * within the drain limit and then closes the agent.
      *
      * @return completes when the agent is closed
      */
     public CompletableFuture<Void> drain() {
+        StructuredLog.info("agent leaving", fields());
         loop.execute(() -> {
-            count.leave();
-            reports.publish();
+            core.leave();
+            reports.publishNow(clockMs.getAsLong());
         });
         return idle.completeOnTimeout(null, options.timing().drainLimitMs(), TimeUnit.MILLISECONDS)
                 .thenRun(this::close);
@@ -73,12 +124,42 @@
     public void close() {
         loop.execute(reports::close);
         server.shutdown();
+        admin.close();
         try {
             client.close();
         } catch (IOException failure) {
-            throw new IllegalStateException("cannot close the HTTP client", failure);
+            StructuredLog.warn(failure, "cannot close the HTTP client", fields());
         }
         eventLoops.shutdownGracefully(100, 2_000, TimeUnit.MILLISECONDS);
+        StructuredLog.info("agent closed", fields());
+    }
+
+    /** Counts the open calls of {@code Execute}, for tests. */
+    int openStreams() {
+        return onLoop(core::openStreams);
+    }
+
+    /** Counts the requests whose responses the upstream has not sent wholly, for tests. */
+    int runningRequests() {
+        return onLoop(core::running);
+    }
+
+    /** Counts the bytes in response buffers, for tests. */
+    long bufferedBytes() {
+        return onLoop(core::bufferedBytes);
+    }
+
+    private <T> T onLoop(Callable<T> question) {
+        return loop.submit(question).syncUninterruptibly().getNow();
+    }
+
+    private void tick() {
+        long nowMs = clockMs.getAsLong();
+        core.tick();
+        reports.tick(nowMs);
+        if (load != null) {
+            load.tick(nowMs);
+        }
     }
 
     private Server listen() throws KingcuproadException {
@@ -88,7 +169,11 @@
                     .workerEventLoopGroup(eventLoops)
                     .channelType(NioServerSocketChannel.class)
                     .directExecutor()
-                    .addService(new AgentCalls(options, client, count, reports))
+                    .keepAliveTime(KEEPALIVE_MS, TimeUnit.MILLISECONDS)
+                    .keepAliveTimeout(KEEPALIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                    .permitKeepAliveTime(MIN_CLIENT_KEEPALIVE_MS, TimeUnit.MILLISECONDS)
+                    .permitKeepAliveWithoutCalls(true)
+                    .addService(new AgentCalls(core, reports))
                     .build()
                     .start();
         } catch (IOException failure) {
@@ -99,10 +184,19 @@
     }
 
     private AgentReport.Builder report() {
-        return AgentReport.newBuilder()
+        AgentReport.Builder report = AgentReport.newBuilder()
                 .setUpstream(options.upstream())
-                .setIncarnation(options.incarnation())
-                .setInFlight(count.running())
-                .setLeaving(count.leaving());
+                .setIncarnation(core.incarnation())
+                .setInFlight(core.running())
+                .setLeaving(core.leaving());
+        return load == null ? report : load.addTo(report, clockMs.getAsLong());
+    }
+
+    private Optional<String> unreadyReason() {
+        return core.leaving() ? Optional.of("leaving") : Optional.empty();
+    }
+
+    private Map<String, Object> fields() {
+        return Map.of("upstream", options.upstream(), "incarnation", options.incarnation());
     }
 }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
@@ -11,6 +11,7 @@
  * @param adminPort port of the admin endpoints, or 0 for any free one
  * @param incarnation random number that distinguishes this start of the agent from all others
  * @param maxConcurrent requests that may run at the same time; further ones are refused
+ * @param traceSampleRatio ratio of the traces begun at this agent that are recorded, from 0 to 1
  * @param timing intervals and limits of time
  */
 public record AgentOptions(
@@ -22,6 +23,7 @@
         int adminPort,
         long incarnation,
         int maxConcurrent,
+        double traceSampleRatio,
         AgentTiming timing) {
 
     private static final int DEFAULT_MAX_CONCURRENT = 32;
@@ -44,6 +46,7 @@
                 0,
                 incarnation,
                 DEFAULT_MAX_CONCURRENT,
+                0,
                 AgentTiming.standard());
     }
 
@@ -57,7 +60,16 @@
      */
     public AgentOptions withListen(String newHost, int newPort, int newAdminPort) {
         return new AgentOptions(
-                upstream, upstreamUrl, reportsLoad, newHost, newPort, newAdminPort, incarnation, maxConcurrent, timing);
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                newHost,
+                newPort,
+                newAdminPort,
+                incarnation,
+                maxConcurrent,
+                traceSampleRatio,
+                timing);
     }
 
     /**
@@ -68,7 +80,16 @@
      */
     public AgentOptions withReportsLoad(boolean newReportsLoad) {
         return new AgentOptions(
-                upstream, upstreamUrl, newReportsLoad, host, port, adminPort, incarnation, maxConcurrent, timing);
+                upstream,
+                upstreamUrl,
+                newReportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                maxConcurrent,
+                traceSampleRatio,
+                timing);
     }
 
     /**
@@ -79,7 +100,36 @@
      */
     public AgentOptions withMaxConcurrent(int newMaxConcurrent) {
         return new AgentOptions(
-                upstream, upstreamUrl, reportsLoad, host, port, adminPort, incarnation, newMaxConcurrent, timing);
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                newMaxConcurrent,
+                traceSampleRatio,
+                timing);
+    }
+
+    /**
+     * Replaces the ratio of recorded traces.
+     *
+     * @param newTraceSampleRatio ratio of the traces begun at this agent that are recorded, from 0 to 1
+     * @return a copy with the ratio
+     */
+    public AgentOptions withTraceSampleRatio(double newTraceSampleRatio) {
+        return new AgentOptions(
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                maxConcurrent,
+                newTraceSampleRatio,
+                timing);
     }
 
     /**
@@ -90,6 +140,15 @@
      */
     public AgentOptions withTiming(AgentTiming newTiming) {
         return new AgentOptions(
-                upstream, upstreamUrl, reportsLoad, host, port, adminPort, incarnation, maxConcurrent, newTiming);
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                maxConcurrent,
+                traceSampleRatio,
+                newTiming);
     }
 }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/ExecuteStream.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/ExecuteStream.java
@@ -1,168 +1,213 @@
 package org.kingcuproad.agent;
 
-import com.google.protobuf.UnsafeByteOperations;
+import io.grpc.Status;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
-import java.util.List;
-import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
-import org.kingcuproad.wire.proto.Accepted;
-import org.kingcuproad.wire.proto.Chunk;
-import org.kingcuproad.wire.proto.Dispatch;
-import org.kingcuproad.wire.proto.End;
+import org.kingcuproad.policy.stream.HeartbeatMonitor;
+import org.kingcuproad.policy.stream.ResponseFrame;
 import org.kingcuproad.wire.proto.ExecuteRequest;
 import org.kingcuproad.wire.proto.ExecuteResponse;
-import org.kingcuproad.wire.proto.Execution;
-import org.kingcuproad.wire.proto.Failed;
-import org.kingcuproad.wire.proto.Head;
-import org.kingcuproad.wire.proto.Header;
-import org.kingcuproad.wire.proto.Heartbeat;
-import org.kingcuproad.wire.proto.Refused;
-
-/** One call of {@code Execute}: runs a dispatch and sends its response. Lives on the event loop of the agent. */
-final class ExecuteStream implements StreamObserver<ExecuteRequest>, UpstreamListener {
-
-    private final AgentOptions options;
-    private final UpstreamClient client;
-    private final RunCount count;
+
+/**
+ * One call of {@code Execute}: a connection of an entry to one run. Lives on the event loop of the agent.
+ *
+ * <p>After the last frame the call stays open until the entry closes its side or acknowledges the whole body, because a
+ * frame that was written to a socket may still be lost with it.
+ */
+final class ExecuteStream implements StreamObserver<ExecuteRequest> {
+
+    private static final int MAX_CHUNK_BYTES = 32 * 1024;
+
+    private final AgentCore core;
+    private final LongSupplier clockMs;
     private final ServerCallStreamObserver<ExecuteResponse> responses;
-    private @Nullable UpstreamCall call;
-    private long offset;
-    private boolean sent;
-    private boolean headSent;
-    private boolean running;
-
-    ExecuteStream(
-            AgentOptions options,
-            UpstreamClient client,
-            RunCount count,
-            ServerCallStreamObserver<ExecuteResponse> responses) {
-        this.options = options;
-        this.client = client;
-        this.count = count;
+    private final HeartbeatMonitor heartbeats;
+    private @Nullable Run run;
+    private int reader;
+    private boolean begun;
+    private boolean lastSent;
+    private boolean closed;
+
+    ExecuteStream(AgentCore core, LongSupplier clockMs, ServerCallStreamObserver<ExecuteResponse> responses) {
+        this.core = core;
+        this.clockMs = clockMs;
         this.responses = responses;
-        responses.setOnCancelHandler(this::cancel);
+        this.heartbeats = new HeartbeatMonitor(clockMs.getAsLong());
+        core.opened(this);
+        responses.setOnReadyHandler(this::pump);
+        responses.setOnCancelHandler(this::lose);
     }
 
     @Override
     public void onNext(ExecuteRequest request) {
+        heartbeats.received(clockMs.getAsLong());
+        if (closed) {
+            return;
+        }
         switch (request.getMessageCase()) {
-            case DISPATCH -> dispatch(request.getDispatch());
-            case HEARTBEAT -> {
-                Heartbeat heartbeat = Heartbeat.getDefaultInstance();
-                respond(ExecuteResponse.newBuilder().setHeartbeat(heartbeat).build());
-            }
-            case CANCEL -> cancel();
-            case RESUME -> refuse(ErrorKind.UPSTREAM_LOST, "resuming is not supported");
-            case ACK, MESSAGE_NOT_SET -> {}
+            case DISPATCH -> begin(() -> core.dispatch(request.getDispatch(), this));
+            case RESUME -> begin(() -> core.resume(request.getResume(), this));
+            case ACK -> acknowledge(request.getAck().getOffset());
+            case CANCEL -> cancel(request.getCancel().getReason());
+            case HEARTBEAT, MESSAGE_NOT_SET -> {}
         }
     }
 
     @Override
     public void onError(Throwable failure) {
-        cancel();
+        lose();
     }
 
     @Override
-    public void onCompleted() {}
+    public void onCompleted() {
+        if (lastSent && !closed) {
+            confirm();
+        }
+    }
 
-    @Override
-    public void onSend() {
-        sent = true;
+    /**
+     * Reads a run from now on.
+     *
+     * @param joined the run
+     * @param number number of this reader in the buffer of the run
+     */
+    void join(Run joined, int number) {
+        run = joined;
+        reader = number;
+        send(Frames.accepted(core.incarnation()));
+        pump();
     }
 
-    @Override
-    public void onHead(int status, List<Map.Entry<String, String>> headers) {
-        headSent = true;
-        Head.Builder head = Head.newBuilder().setStatus(status);
-        headers.forEach(header ->
-                head.addHeaders(Header.newBuilder().setName(header.getKey()).setValue(header.getValue())));
-        respond(ExecuteResponse.newBuilder().setHead(head).build());
+    /** Sends what the buffer of the run holds, as far as the connection takes it. */
+    void pump() {
+        if (run == null) {
+            return;
+        }
+        while (!closed && !lastSent && responses.isReady()) {
+            Optional<ResponseFrame> frame = run.buffer().next(reader, MAX_CHUNK_BYTES);
+            if (frame.isEmpty()) {
+                return;
+            }
+            send(Frames.of(frame.get()));
+            lastSent = frame.get() instanceof ResponseFrame.End || frame.get() instanceof ResponseFrame.Failure;
+        }
     }
 
-    @Override
-    public void onBody(byte[] data) {
-        Chunk chunk = Chunk.newBuilder()
-                .setOffset(offset)
-                .setData(UnsafeByteOperations.unsafeWrap(data))
-                .build();
-        offset += data.length;
-        respond(ExecuteResponse.newBuilder().setChunk(chunk).build());
+    /**
+     * Refuses the dispatch or resume and closes the call.
+     *
+     * @param kind kind of the refusal
+     * @param detail why
+     */
+    void refuse(ErrorKind kind, String detail) {
+        send(Frames.refused(kind, detail, core.incarnation()));
+        complete();
     }
 
-    @Override
-    public void onComplete() {
-        End end = End.newBuilder().setLength(offset).build();
-        finish(ExecuteResponse.newBuilder().setEnd(end).build());
+    /**
+     * Sends frames that come from no run and closes the call.
+     *
+     * @param frames a whole answer or a failure
+     */
+    void answer(Iterable<ResponseFrame> frames) {
+        send(Frames.accepted(core.incarnation()));
+        frames.forEach(frame -> send(Frames.of(frame)));
+        complete();
     }
 
-    @Override
-    public void onFailure(Throwable failure) {
-        if (!sent) {
-            refuse(ErrorKind.NO_UPSTREAM, "the upstream does not accept connections");
+    /** Closes the call, because another connection reads its run now. */
+    void replace() {
+        fail(Status.ABORTED.withDescription("another connection reads this response"));
+    }
+
+    /**
+     * Sends a heartbeat if one is due and gives the connection up if the entry went silent.
+     *
+     * @param nowMs present time
+     */
+    void tick(long nowMs) {
+        if (closed) {
             return;
         }
-        ErrorKind kind = headSent ? ErrorKind.ANSWER_INCOMPLETE : ErrorKind.UPSTREAM_LOST;
-        Failed failed = Failed.newBuilder()
-                .setKind(kind.label())
-                .setExecution(headSent ? Execution.EXECUTION_RAN : Execution.EXECUTION_UNKNOWN)
-                .setDetail(String.valueOf(failure.getMessage()))
-                .build();
-        finish(ExecuteResponse.newBuilder().setFailed(failed).build());
-    }
-
-    private void dispatch(Dispatch dispatch) {
-        if (dispatch.getIncarnation() != 0 && dispatch.getIncarnation() != options.incarnation()) {
-            refuse(ErrorKind.NO_UPSTREAM, "the dispatch names another incarnation");
-        } else if (count.leaving()) {
-            refuse(ErrorKind.SHUTTING_DOWN, ErrorKind.SHUTTING_DOWN.meaning());
-        } else if (count.running() >= options.maxConcurrent()) {
-            refuse(ErrorKind.OVERLOADED, "the upstream runs as many requests as it may");
-        } else {
-            running = true;
-            count.started();
-            Accepted accepted =
-                    Accepted.newBuilder().setIncarnation(options.incarnation()).build();
-            respond(ExecuteResponse.newBuilder().setAccepted(accepted).build());
-            call = client.send(dispatch, this);
-        }
-    }
-
-    private void refuse(ErrorKind kind, String detail) {
-        Refused refused = Refused.newBuilder()
-                .setKind(kind.label())
-                .setDetail(detail)
-                .setIncarnation(options.incarnation())
-                .build();
-        finish(ExecuteResponse.newBuilder().setRefused(refused).build());
-    }
-
-    private void respond(ExecuteResponse response) {
-        if (!responses.isCancelled()) {
-            responses.onNext(response);
+        switch (heartbeats.check(nowMs)) {
+            case SEND -> send(Frames.heartbeat());
+            case ABANDON -> {
+                core.metrics().silentConnection();
+                lose();
+                fail(Status.UNAVAILABLE.withDescription("the entry went silent"));
+            }
+            case WAIT -> {}
         }
     }
 
-    private void finish(ExecuteResponse last) {
-        respond(last);
+    private void begin(Runnable first) {
+        if (begun) {
+            fail(Status.INVALID_ARGUMENT.withDescription("a call takes one dispatch or resume"));
+            return;
+        }
+        begun = true;
+        first.run();
+    }
+
+    private void acknowledge(long offset) {
+        if (run == null) {
+            return;
+        }
+        if (!run.acknowledge(offset)) {
+            lose();
+            fail(Status.INVALID_ARGUMENT.withDescription("the acknowledged bytes were never sent"));
+        } else if (lastSent && run.buffer().heldBytes() == 0) {
+            confirm();
+        }
+    }
+
+    private void cancel(String reason) {
+        if (run != null) {
+            run.cancel(reason);
+        }
+        complete();
+    }
+
+    private void confirm() {
+        Run confirmed = run;
+        complete();
+        if (confirmed != null) {
+            confirmed.delivered();
+        }
+    }
+
+    private void lose() {
+        closed = true;
+        core.closed(this);
+        if (run != null) {
+            run.detach(this, reader);
+        }
+    }
+
+    private void send(ExecuteResponse response) {
         if (!responses.isCancelled()) {
-            responses.onCompleted();
+            heartbeats.sent(clockMs.getAsLong());
+            responses.onNext(response);
         }
-        end();
     }
 
-    private void cancel() {
-        if (call != null && running) {
-            call.cancel();
+    private void complete() {
+        closed = true;
+        core.closed(this);
+        if (!responses.isCancelled()) {
+            responses.onCompleted();
         }
-        end();
     }
 
-    private void end() {
-        if (running) {
-            running = false;
-            count.ended();
+    private void fail(Status status) {
+        closed = true;
+        core.closed(this);
+        if (!responses.isCancelled()) {
+            responses.onError(status.asRuntimeException());
         }
     }
 }
--- /dev/null
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/LoadPoll.java
@@ -0,0 +1,95 @@
+package org.kingcuproad.agent;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.kingcuproad.wire.proto.AgentReport;
+
+/** Asks the engine for its load, one request at a time. Lives on the event loop of the agent. */
+final class LoadPoll {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final UpstreamClient client;
+    private final long intervalMs;
+    private long dueMs;
+    private boolean waiting;
+    private int queued;
+    private double tokensPerSecond;
+    private long takenMs;
+
+    LoadPoll(UpstreamClient client, long intervalMs, long nowMs) {
+        this.client = client;
+        this.intervalMs = intervalMs;
+        this.dueMs = nowMs;
+        this.takenMs = nowMs;
+    }
+
+    /** Asks again if it is time and the last question was answered. */
+    void tick(long nowMs) {
+        if (!waiting && nowMs >= dueMs) {
+            dueMs = nowMs + intervalMs;
+            waiting = true;
+            client.get("/control/load", new Answer(nowMs));
+        }
+    }
+
+    AgentReport.Builder addTo(AgentReport.Builder report, long nowMs) {
+        return report.setQueued(queued).setTokensPerSecond(tokensPerSecond).setLoadAgeMs((int)
+                Math.max(0, nowMs - takenMs));
+    }
+
+    private void read(byte[] body, long askedMs) throws IOException {
+        JsonNode load = MAPPER.readTree(body);
+        queued = load.path("waiting").asInt();
+        tokensPerSecond = load.path("tokensPerSecond").asDouble();
+        takenMs = askedMs - load.path("ageMs").asLong();
+    }
+
+    /** Collects one load report. */
+    private final class Answer implements UpstreamListener {
+
+        private final long askedMs;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int status;
+
+        Answer(long askedMs) {
+            this.askedMs = askedMs;
+        }
+
+        @Override
+        public void onSend() {}
+
+        @Override
+        public void onHead(int received, List<Map.Entry<String, String>> headers) {
+            status = received;
+        }
+
+        @Override
+        public void onBody(byte[] data) {
+            body.writeBytes(data);
+        }
+
+        @Override
+        public void onComplete() {
+            waiting = false;
+            if (status != 200) {
+                return;
+            }
+            try {
+                read(body.toByteArray(), askedMs);
+            } catch (IOException malformed) {
+                // The figures of the last readable report stay in force; their growing age shows the fault.
+                return;
+            }
+        }
+
+        @Override
+        public void onFailure(Throwable failure) {
+            waiting = false;
+        }
+    }
+}
--- /dev/null
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/StoredAnswers.java
@@ -0,0 +1,33 @@
+package org.kingcuproad.agent;
+
+import java.util.List;
+import java.util.Optional;
+import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.claim.Outcome;
+import org.kingcuproad.policy.stream.ResponseFrame;
+
+/** Builds the answer to a retry of a request that ran before. */
+final class StoredAnswers {
+
+    private StoredAnswers() {}
+
+    static List<ResponseFrame> frames(Optional<Outcome> outcome) {
+        return outcome.filter(Outcome::bodyKept).map(StoredAnswers::whole).orElseGet(StoredAnswers::alreadyRan);
+    }
+
+    static List<ResponseFrame> alreadyRan() {
+        return failure(ErrorKind.ALREADY_RAN, ErrorKind.ALREADY_RAN.meaning());
+    }
+
+    static List<ResponseFrame> failure(ErrorKind kind, String detail) {
+        return List.of(new ResponseFrame.Failure(kind, detail));
+    }
+
+    private static List<ResponseFrame> whole(Outcome outcome) {
+        ResponseFrame.Head head = new ResponseFrame.Head(outcome.status(), List.of());
+        ResponseFrame.End end = new ResponseFrame.End(outcome.body().length());
+        return outcome.body().length() == 0
+                ? List.of(head, end)
+                : List.of(head, new ResponseFrame.Chunk(0, outcome.body()), end);
+    }
+}
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -8,13 +8,16 @@
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.RequestBuilder;
+import org.kingcuproad.runtime.trace.Tracing;
 import org.kingcuproad.wire.proto.Dispatch;
 
 /** Sends requests to the upstream beside the agent. */
 final class UpstreamClient {
 
     private static final String REQUEST_ID = "X-Request-Id";
-    private static final String TRACEPARENT = "traceparent";
+
+    // The run enforces the deadline and the idle limit; the client takes zero as a timeout of zero.
+    private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
 
     // Shorter than the idle limit of common servers, so that a request rarely meets a connection that is being closed.
     private static final Duration POOLED_IDLE = Duration.ofSeconds(4);
@@ -27,8 +30,8 @@
         this.client = new DefaultAsyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
                 .setEventLoopGroup(eventLoops)
                 .setConnectTimeout(Duration.ofMillis(timing.connectLimitMs()))
-                .setRequestTimeout(Duration.ZERO)
-                .setReadTimeout(Duration.ZERO)
+                .setRequestTimeout(NO_TIMEOUT)
+                .setReadTimeout(NO_TIMEOUT)
                 .setPooledConnectionIdleTimeout(POOLED_IDLE)
                 // A repeated attempt could run a request twice, so a failure always reaches the run.
                 .setMaxRequestRetry(0)
@@ -36,17 +39,19 @@
                 .setEnableAutomaticDecompression(false)
                 .setCookieStore(null)
                 .setTcpNoDelay(true)
+                .setHttpAdditionalChannelInitializer(
+                        channel -> channel.pipeline().addFirst(new ReadGate()))
                 .build());
     }
 
-    UpstreamCall send(Dispatch dispatch, UpstreamListener listener) {
+    UpstreamCall send(Dispatch dispatch, String traceparent, UpstreamListener listener) {
         RequestBuilder request = new RequestBuilder(dispatch.getMethod(), true).setUrl(baseUrl + dispatch.getPath());
         dispatch.getHeadersList().stream()
                 .filter(header -> !HopHeaders.contains(header.getName()))
                 .forEach(header -> request.addHeader(header.getName(), header.getValue()));
         request.setHeader(REQUEST_ID, dispatch.getRequestId());
-        if (!dispatch.getTraceparent().isEmpty()) {
-            request.setHeader(TRACEPARENT, dispatch.getTraceparent());
+        if (!traceparent.isEmpty()) {
+            request.setHeader(Tracing.TRACEPARENT, traceparent);
         }
         if (!dispatch.getBody().isEmpty()) {
             request.setBody(dispatch.getBody().toByteArray());
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
@@ -4,8 +4,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
@@ -30,7 +32,7 @@
     }
 
     @Override
-    public void onTcpConnectSuccess(java.net.InetSocketAddress address, Channel connected) {
+    public void onTcpConnectSuccess(InetSocketAddress address, Channel connected) {
         use(connected);
     }
 
@@ -108,16 +110,12 @@
 
     @Override
     public void pauseReading() {
-        if (channel != null) {
-            channel.config().setAutoRead(false);
-        }
+        gate().ifPresent(ReadGate::close);
     }
 
     @Override
     public void resumeReading() {
-        if (channel != null) {
-            channel.config().setAutoRead(true);
-        }
+        gate().ifPresent(ReadGate::open);
     }
 
     @Override
@@ -135,6 +133,11 @@
         }
     }
 
+    private Optional<ReadGate> gate() {
+        return Optional.ofNullable(channel)
+                .map(connected -> connected.pipeline().get(ReadGate.class));
+    }
+
     private State state() {
         return ended ? State.ABORT : State.CONTINUE;
     }
--- /dev/null
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFlowTest.java
@@ -0,0 +1,88 @@
+package org.kingcuproad.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Iterator;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.kingcuproad.emulator.engine.ChatText;
+import org.kingcuproad.policy.stream.ResponseBuffer;
+import org.kingcuproad.wire.proto.AgentReport;
+import org.kingcuproad.wire.proto.AgentServiceGrpc;
+import org.kingcuproad.wire.proto.ReportRequest;
+
+/** Guards the flow of work through an agent: forwarding, back-pressure, admission and leaving. */
+class AgentFlowTest {
+
+    /** Guards against changed answers and against a missing request id at the upstream. */
+    @Test
+    void passesOrderOn() throws Exception {
+        try (AgentFixture fixture = AgentFixture.service(AgentFixture.serviceSettings());
+                ExecuteClient client = fixture.connect().send(AgentFixture.order("o-1"))) {
+            ResponseReader reader = new ResponseReader().readAll(client);
+            assertThat(reader.text()).isEqualTo("{\"order\":1,\"requestId\":\"o-1\",\"run\":1}");
+            assertThat(reader.status()).isEqualTo(201);
+        }
+    }
+
+    /** Guards against memory that grows with a slow reader, and against bytes lost when reading stops and goes on. */
+    @Test
+    void stopsReadingWhenBufferIsFull() throws Exception {
+        int tokens = 20_000;
+        String whole = ChatText.streamedBody("r-1", "m", tokens);
+        assertThat(whole.length()).isGreaterThan(4 * ResponseBuffer.LIMIT_BYTES);
+        try (AgentFixture fixture = AgentFixture.model(AgentFixture.engineSettings());
+                ExecuteClient client = fixture.connect().send(AgentFixture.chat("r-1", tokens))) {
+            AgentFixture.await("the buffer is full", () -> fixture.agent.bufferedBytes() >= ResponseBuffer.STOP_BYTES);
+            TimeUnit.MILLISECONDS.sleep(300);
+            assertThat(fixture.agent.bufferedBytes()).isLessThanOrEqualTo(ResponseBuffer.LIMIT_BYTES);
+            assertThat(fixture.agent.runningRequests()).isEqualTo(1);
+            assertThat(new ResponseReader().readAll(client).text()).isEqualTo(whole);
+        }
+    }
+
+    /** Guards against more work than the upstream may run. */
+    @Test
+    void refusesBeyondLimit() throws Exception {
+        try (AgentFixture fixture =
+                AgentFixture.model(AgentFixture.engineSettings().withSpeed(60_000, 0))) {
+            for (int index = 0; index < 4; index++) {
+                fixture.connect().send(AgentFixture.chat("r-" + index, 1));
+            }
+            AgentFixture.await("four run", () -> fixture.engine.running() == 4);
+            try (ExecuteClient fifth = fixture.connect().send(AgentFixture.chat("r-5", 1))) {
+                assertThat(new ResponseReader().readAll(fifth).refused().getKind())
+                        .isEqualTo("overloaded");
+            }
+        }
+    }
+
+    /** Guards against new work for a leaving agent, late notice to entries and interrupted responses. */
+    @Test
+    void drainsGracefully() throws Exception {
+        try (AgentFixture fixture =
+                        AgentFixture.model(AgentFixture.engineSettings().withSpeed(0, 20));
+                ExecuteClient subscriber = fixture.connect();
+                ExecuteClient running = fixture.connect().send(AgentFixture.chat("r-1", 100))) {
+            Iterator<AgentReport> reports = AgentServiceGrpc.newBlockingStub(subscriber.channel())
+                    .report(ReportRequest.newBuilder().setIntervalMs(600_000).build());
+            AgentReport before = reports.next();
+            assertThat(before.getLeaving()).isFalse();
+            ResponseReader reader = new ResponseReader();
+            reader.read(running, 3);
+            CompletableFuture<Void> drained = fixture.agent.drain();
+            AgentReport after = reports.next();
+            assertThat(after.getLeaving()).isTrue();
+            assertThat(after.getSequence()).isEqualTo(before.getSequence() + 1);
+            try (ExecuteClient late = fixture.connect().send(AgentFixture.chat("r-2", 1))) {
+                assertThat(new ResponseReader().readAll(late).refused().getKind())
+                        .isEqualTo("shutting-down");
+            }
+            assertThat(drained).isNotDone();
+            assertThat(reader.readAll(running).text()).isEqualTo(ChatText.streamedBody("r-1", "m", 100));
+            drained.get(20, TimeUnit.SECONDS);
+            assertThat(fixture.engine.runs("r-2")).isZero();
+        }
+    }
+}
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ExecuteClient.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ExecuteClient.java
@@ -4,7 +4,9 @@
 import io.grpc.ManagedChannel;
 import io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.StreamObserver;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.wire.proto.Ack;
@@ -23,6 +25,7 @@
     private static final ExecuteResponse CLOSED = ExecuteResponse.getDefaultInstance();
 
     private final ManagedChannel channel;
+    private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
     private final StreamObserver<ExecuteRequest> requests;
     private final LinkedBlockingQueue<ExecuteResponse> responses = new LinkedBlockingQueue<>();
 
@@ -30,6 +33,7 @@
         channel =
                 NettyChannelBuilder.forAddress("127.0.0.1", port).usePlaintext().build();
         requests = AgentServiceGrpc.newStub(channel).execute(this);
+        heartbeats.scheduleAtFixedRate(this::heartbeat, 300, 300, TimeUnit.MILLISECONDS);
     }
 
     static Dispatch.Builder dispatch(String requestId, long incarnation, String method, String path, String body) {
@@ -48,28 +52,44 @@
     }
 
     ExecuteClient send(Dispatch.Builder dispatch) {
-        requests.onNext(ExecuteRequest.newBuilder().setDispatch(dispatch).build());
+        send(ExecuteRequest.newBuilder().setDispatch(dispatch).build());
         return this;
     }
 
     ExecuteClient send(Resume.Builder resume) {
-        requests.onNext(ExecuteRequest.newBuilder().setResume(resume).build());
+        send(ExecuteRequest.newBuilder().setResume(resume).build());
         return this;
     }
 
     void acknowledge(long offset) {
         Ack ack = Ack.newBuilder().setOffset(offset).build();
-        requests.onNext(ExecuteRequest.newBuilder().setAck(ack).build());
+        send(ExecuteRequest.newBuilder().setAck(ack).build());
     }
 
-    void heartbeat() {
+    /** Stops the heartbeats, as on a connection that went silent. */
+    void goSilent() {
+        heartbeats.shutdownNow();
+    }
+
+    private synchronized void send(ExecuteRequest request) {
+        requests.onNext(request);
+    }
+
+    private void heartbeat() {
         Heartbeat heartbeat = Heartbeat.getDefaultInstance();
-        requests.onNext(ExecuteRequest.newBuilder().setHeartbeat(heartbeat).build());
+        send(ExecuteRequest.newBuilder().setHeartbeat(heartbeat).build());
+    }
+
+    void halfClose() {
+        heartbeats.shutdownNow();
+        synchronized (this) {
+            requests.onCompleted();
+        }
     }
 
     void cancel() {
         Cancel cancel = Cancel.newBuilder().setReason("caller left").build();
-        requests.onNext(ExecuteRequest.newBuilder().setCancel(cancel).build());
+        send(ExecuteRequest.newBuilder().setCancel(cancel).build());
     }
 
     /** Returns the next response that is no heartbeat, or null when the call has ended. */
@@ -101,6 +121,7 @@
 
     @Override
     public void close() {
+        heartbeats.shutdownNow();
         channel.shutdownNow();
     }
 }
--- /dev/null
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
@@ -0,0 +1,110 @@
+package org.kingcuproad.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
+import org.kingcuproad.wire.proto.ExecuteResponse;
+import org.kingcuproad.wire.proto.Failed;
+import org.kingcuproad.wire.proto.Refused;
+import org.kingcuproad.wire.proto.Resume;
+
+/** Puts one response together over any number of connections and checks that no byte is lost or repeated. */
+final class ResponseReader {
+
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private boolean accepted;
+    private int status;
+    private boolean complete;
+    private @Nullable Failed failed;
+    private @Nullable Refused refused;
+
+    /** Reads a number of messages; returns false if the response was over before. */
+    boolean read(ExecuteClient client, int messages) throws InterruptedException {
+        for (int count = 0; count < messages; count++) {
+            ExecuteResponse response = client.next();
+            if (response == null) {
+                throw new AssertionError("the call closed before the end of the response");
+            }
+            take(response);
+            if (over()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    ResponseReader readAll(ExecuteClient client) throws InterruptedException {
+        while (read(client, 1)) {
+            client.acknowledge(body.size());
+        }
+        client.halfClose();
+        return this;
+    }
+
+    Resume.Builder resume(String requestId, long incarnation) {
+        return Resume.newBuilder()
+                .setRequestId(requestId)
+                .setAttempt(1)
+                .setIncarnation(incarnation)
+                .setOffset(body.size())
+                .setHasHead(status != 0);
+    }
+
+    String text() {
+        assertThat(complete).as("the response ended").isTrue();
+        return body.toString(StandardCharsets.UTF_8);
+    }
+
+    int status() {
+        return status;
+    }
+
+    int receivedBytes() {
+        return body.size();
+    }
+
+    boolean accepted() {
+        return accepted;
+    }
+
+    Failed failed() {
+        if (failed == null) {
+            throw new AssertionError("the response did not fail");
+        }
+        return failed;
+    }
+
+    Refused refused() {
+        if (refused == null) {
+            throw new AssertionError("the dispatch was not refused");
+        }
+        return refused;
+    }
+
+    private boolean over() {
+        return complete || failed != null || refused != null;
+    }
+
+    private void take(ExecuteResponse response) {
+        switch (response.getMessageCase()) {
+            case ACCEPTED -> accepted = true;
+            case HEAD -> {
+                assertThat(status).as("one head").isZero();
+                status = response.getHead().getStatus();
+            }
+            case CHUNK -> {
+                assertThat(response.getChunk().getOffset()).isEqualTo(body.size());
+                body.writeBytes(response.getChunk().getData().toByteArray());
+            }
+            case END -> {
+                assertThat(response.getEnd().getLength()).isEqualTo(body.size());
+                complete = true;
+            }
+            case FAILED -> failed = response.getFailed();
+            case REFUSED -> refused = response.getRefused();
+            case HEARTBEAT, MESSAGE_NOT_SET -> throw new AssertionError(response);
+        }
+    }
+}
