Add validate, trial, promote, status, explain and emulate-platform

Cause: operators control the system only through environment documents. Commands of the administration API repeat a call with the same operation id until its outcome is known, at several entries if they are named.

--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -64,6 +64,12 @@
     }
 
     private static List<Command> commands() {
-        return List.of();
+        return List.of(
+                new ValidateCommand(),
+                new TrialCommand(),
+                new PromoteCommand(),
+                new StatusCommand(),
+                new ExplainCommand(),
+                new EmulatePlatformCommand());
     }
 }
