--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -66,8 +66,14 @@
     private static List<Command> commands() {
         return List.of(
                 new EmulateEngineCommand(),
+                new EmulatePlatformCommand(),
                 new EmulateServiceCommand(),
                 new ExperimentPlacementCommand(),
-                new ExperimentRoutingCommand());
+                new ExperimentRoutingCommand(),
+                new ExplainCommand(),
+                new PromoteCommand(),
+                new StatusCommand(),
+                new TrialCommand(),
+                new ValidateCommand());
     }
 }
