Serve the administration API at the entry

Cause: operators could not try, promote, look up status or ask for explanations. Change: AdminHandler with its own credential on the admin port, the last report of each agent, scripts/demo.sh. Conclusion: the demo waits for the example documents.

--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
@@ -4,21 +4,30 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.kingcuproad.config.settings.EntrySettings;
+import org.kingcuproad.entry.admin.AdminHandler;
+import org.kingcuproad.entry.admin.EntryView;
 import org.kingcuproad.entry.document.DocumentInForce;
 import org.kingcuproad.entry.document.DocumentWatch;
 import org.kingcuproad.entry.document.UpstreamDirectory;
 import org.kingcuproad.entry.document.VmListPoller;
 import org.kingcuproad.entry.link.AgentLinks;
+import org.kingcuproad.entry.link.ReportFanOut;
+import org.kingcuproad.entry.link.UpstreamStatus;
+import org.kingcuproad.entry.link.UpstreamStatuses;
 import org.kingcuproad.entry.request.CallerHandler;
 import org.kingcuproad.entry.request.RequestTasks;
 import org.kingcuproad.entry.request.RouterSelector;
+import org.kingcuproad.entry.request.Selection;
+import org.kingcuproad.entry.request.Target;
 import org.kingcuproad.model.HostPort;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.model.Upstream;
@@ -28,6 +37,8 @@
 import org.kingcuproad.platform.ObjectStoreSettings;
 import org.kingcuproad.platform.Vm;
 import org.kingcuproad.platform.VmRole;
+import org.kingcuproad.platform.environment.AdminRoutes;
+import org.kingcuproad.platform.environment.EnvironmentAdmin;
 import org.kingcuproad.platform.environment.StoredDocument;
 import org.kingcuproad.policy.routing.RouterSettings;
 import org.kingcuproad.policy.routing.UpstreamRouter;
@@ -38,9 +49,11 @@
 import org.kingcuproad.runtime.trace.Tracing;
 
 /** An entry process. One event loop owns all of its state. */
-public final class Entry {
+public final class Entry implements EntryView {
 
     private static final double TRACE_SAMPLE_RATIO = 1.0;
+    private static final int MAX_ADMIN_BODY_BYTES = 8 << 20;
+    private static final int MAX_ADMIN_HEADER_BYTES = 16 << 10;
     private static final int VM_POLL_INTERVAL_MS = 1_000;
     private static final int DEFAULT_DRAIN_LIMIT_SECONDS = 60;
 
@@ -48,6 +61,7 @@
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = eventLoops.next();
     private final MetricRegistry metrics = new MetricRegistry();
+    private final UpstreamStatuses statuses = new UpstreamStatuses(System::nanoTime);
     private final RouterSelector selector;
     private final AgentLinks links;
     private final RequestTasks tasks;
@@ -70,16 +84,19 @@
                 settings.name().hashCode());
         this.selector = new RouterSelector(router, System::nanoTime);
         this.store = HttpObjectStore.open(ObjectStoreSettings.of(settings.platformUrl()), eventLoops);
-        this.links = new AgentLinks(settings.name(), eventLoop, selector, System::nanoTime);
+        this.links = new AgentLinks(settings.name(), eventLoop, new ReportFanOut(selector, statuses), System::nanoTime);
         Tracing tracing = Tracing.toLog(settings.name(), TRACE_SAMPLE_RATIO);
         this.tasks = new RequestTasks(eventLoop, links, selector, tracing, metrics, System::nanoTime);
         CallerHandler handler = new CallerHandler(() -> document, tasks, tracing, System::nanoTime);
+        AdminRoutes documents = new AdminRoutes(new EnvironmentAdmin(store));
+        AdminHandler administration = new AdminHandler(this, documents, System::nanoTime);
         this.callers = HttpServer.start(
                 eventLoops, HttpServerSettings.of(settings.listenHost(), settings.callerPort()), handler);
         this.admin = HttpServer.start(
                 eventLoops,
-                HttpServerSettings.of(settings.listenHost(), settings.adminPort()),
-                OperationsHandler.standalone(metrics, this::unreadyReason));
+                HttpServerSettings.of(settings.listenHost(), settings.adminPort())
+                        .withLimits(MAX_ADMIN_BODY_BYTES, MAX_ADMIN_HEADER_BYTES),
+                new OperationsHandler(metrics, this::unreadyReason, administration));
     }
 
     /**
@@ -193,11 +210,42 @@
     private void refreshUpstreams() {
         document.ifPresent(current -> {
             List<Upstream> connected = directory.connected(current.versioned().document(), vmAddresses);
+            statuses.retain(connected.stream().map(Upstream::name).toList());
             links.update(UpstreamDirectory.addresses(connected, vmAddresses));
             selector.update(current.versioned().document(), connected, System.nanoTime());
         });
     }
 
+    @Override
+    public EntrySettings settings() {
+        return settings;
+    }
+
+    @Override
+    public Optional<DocumentInForce> document() {
+        return document;
+    }
+
+    @Override
+    public Collection<UpstreamStatus> upstreams() {
+        return statuses.all();
+    }
+
+    @Override
+    public int requestsInProgress() {
+        return tasks.active();
+    }
+
+    @Override
+    public boolean draining() {
+        return draining;
+    }
+
+    @Override
+    public Selection explain(Target target, String workspace, String key) {
+        return selector.select(target, workspace, key, Set.of(), System.nanoTime());
+    }
+
     private Optional<String> unreadyReason() {
         if (draining) {
             return Optional.of("shutting down");
--- /dev/null
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/link/UpstreamStatuses.java
@@ -0,0 +1,61 @@
+package org.kingcuproad.entry.link;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.kingcuproad.wire.proto.AgentReport;
+
+/** The last that an entry heard of each agent, for operators. Owned by the event loop of the entry. */
+public final class UpstreamStatuses implements ReportListener {
+
+    private final LongSupplier clockNs;
+    private final Map<String, UpstreamStatus> statuses = new TreeMap<>();
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param clockNs monotonic clock, in nanoseconds
+     */
+    public UpstreamStatuses(LongSupplier clockNs) {
+        this.clockNs = clockNs;
+    }
+
+    @Override
+    public void onReport(String upstream, AgentReport report) {
+        UpstreamStatus status = new UpstreamStatus(
+                upstream,
+                report.getIncarnation(),
+                report.getDocumentRevision(),
+                report.getInFlight(),
+                report.getLeaving(),
+                "",
+                clockNs.getAsLong());
+        statuses.put(upstream, status);
+    }
+
+    @Override
+    public void onUnreachable(String upstream, String detail) {
+        UpstreamStatus last =
+                statuses.getOrDefault(upstream, new UpstreamStatus(upstream, 0, 0, 0, false, "", clockNs.getAsLong()));
+        statuses.put(upstream, last.withFailure(detail));
+    }
+
+    /**
+     * Forgets agents that the entry no longer connects to.
+     *
+     * @param upstreams names of the upstreams that stay
+     */
+    public void retain(Collection<String> upstreams) {
+        statuses.keySet().retainAll(upstreams);
+    }
+
+    /**
+     * Returns what is known.
+     *
+     * @return the statuses in the order of their names
+     */
+    public Collection<UpstreamStatus> all() {
+        return statuses.values();
+    }
+}
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
@@ -66,10 +66,31 @@
 
     @Override
     public Selection select(RequestContext request, Set<String> excluded, long nowNs) {
-        return switch (request.target()) {
-            case Target.ModelTarget model -> route(request, PromptPrefix.ofPrompt(model.prompt()), excluded, nowNs);
-            case Target.ServiceTarget service when request.keyedOrder() -> owner(request, excluded);
-            case Target.ServiceTarget service -> route(request, PromptPrefix.none(), excluded, nowNs);
+        return select(request.target(), request.workspace(), request.idempotencyKey(), excluded, nowNs);
+    }
+
+    /**
+     * Chooses an upstream, without counting the choice as load.
+     *
+     * @param target what the request asks for
+     * @param workspace workspace of the caller
+     * @param key idempotency key, or an empty string
+     * @param excluded upstreams that must not be chosen
+     * @param nowNs the present time, in nanoseconds
+     * @return the upstream, or why there is none
+     */
+    public Selection select(Target target, String workspace, String key, Set<String> excluded, long nowNs) {
+        return switch (target) {
+            case Target.ModelTarget model -> {
+                selectedPrefix = PromptPrefix.ofPrompt(model.prompt());
+                yield route(target, workspace, excluded, nowNs);
+            }
+            case Target.ServiceTarget service -> {
+                selectedPrefix = PromptPrefix.none();
+                yield service.idempotent() || key.isEmpty()
+                        ? route(target, workspace, excluded, nowNs)
+                        : owner(service, workspace, key, excluded);
+            }
         };
     }
 
@@ -111,34 +132,35 @@
         router.onFailure(upstream, millis(clockNs.getAsLong()));
     }
 
-    private Selection route(RequestContext request, PromptPrefix prefix, Set<String> excluded, long nowNs) {
-        selectedPrefix = prefix;
-        RequestFeatures features = new RequestFeatures(request.target().name(), prefix, request.workspace(), excluded);
+    private Selection route(Target target, String workspace, Set<String> excluded, long nowNs) {
+        RequestFeatures features = new RequestFeatures(target.name(), selectedPrefix, workspace, excluded);
         return switch (router.choose(features, millis(nowNs))) {
-            case RoutingDecision.Chosen chosen -> new Selection.Selected(chosen.upstream());
+            case RoutingDecision.Chosen chosen ->
+                new Selection.Selected(chosen.upstream(), chosen.reason().name());
             case RoutingDecision.None none when none.reason() == NoChoiceReason.SATURATED -> new Selection.Saturated();
-            case RoutingDecision.None none -> new Selection.None();
+            case RoutingDecision.None none -> new Selection.None(none.reason().name());
         };
     }
 
     /** An order with a key goes to the owner of its claim shard, so that one agent sees all attempts of the caller. */
-    private Selection owner(RequestContext request, Set<String> excluded) {
-        selectedPrefix = PromptPrefix.none();
-        Optional<BoundKey> bound = BoundKey.parse(request.idempotencyKey());
+    private Selection owner(Target.ServiceTarget target, String workspace, String key, Set<String> excluded) {
+        Optional<BoundKey> bound = BoundKey.parse(key);
         if (bound.isPresent()) {
             String upstream = bound.get().upstream();
-            return excluded.contains(upstream) ? new Selection.None() : new Selection.Selected(upstream);
+            return excluded.contains(upstream)
+                    ? new Selection.None("the upstream of the bound key can't take it")
+                    : new Selection.Selected(upstream, "BOUND_KEY");
         }
         List<String> candidates = upstreams.stream()
                 .filter(upstream -> upstream.kind() == UpstreamKind.SERVICE)
-                .filter(upstream -> upstream.group().equals(request.target().name()))
+                .filter(upstream -> upstream.group().equals(target.service()))
                 .map(Upstream::name)
                 .filter(upstream -> !excluded.contains(upstream))
                 .toList();
-        int shard = ClaimKey.of(request.workspace(), request.idempotencyKey()).shard();
+        int shard = ClaimKey.of(workspace, key).shard();
         return ClaimKey.owner(environment, shard, candidates)
-                .<Selection>map(Selection.Selected::new)
-                .orElseGet(Selection.None::new);
+                .<Selection>map(upstream -> new Selection.Selected(upstream, "OWNER_OF_CLAIM_SHARD_" + shard))
+                .orElseGet(() -> new Selection.None("no upstream owns the claim shard"));
     }
 
     /** All groups of a model can run its requests, so the router balances over the model. */
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -108,8 +108,64 @@
     agent_port=$((agent_port + 10)) standin_port=$((standin_port + 1))
   done < <(upstreams "$document" service 2)
   wait_for "http://$host:$((port + 1))/livez"
-  bin/kingcuproadctl trial --entry "http://$host:$((port + 1))" --environment "$environment" "$document"
-  bin/kingcuproadctl promote --entry "http://$host:$((port + 1))" --environment "$environment"
+  local entry=http://$host:$((port + 1)) revision
+  revision=$(bin/kingcuproadctl trial --json --entry "$entry" "$document" |
+    python3 -c 'import json,sys; print(json.load(sys.stdin)["revision"])')
+  bin/kingcuproadctl promote --entry "$entry" --environment "$environment" \
+    --trial-revision "$revision" --production-revision 0
   wait_for "http://$host:$((port + 1))/readyz"
   wait_for "http://$host:$((port + 11))/readyz"
 }
+
+call() { # port credential path [curl options...]
+  local port=$1 credential=$2 path=$3
+  shift 3
+  curl -sS --max-time 30 -H "Authorization: Bearer $credential" "http://$host:$port$path" "$@"
+}
+
+wait_serving() { # port credential path [curl options...]
+  for _ in $(seq 100); do
+    if call "$@" -f -o /dev/null 2>/dev/null; then return; fi
+    sleep 0.1
+  done
+  echo "not serving: $*" >&2
+  exit 1
+}
+
+chat_body() { # model stream
+  printf '{"model":"%s","messages":[{"role":"user","content":"%s"}],"max_tokens":8,"stream":%s}' "$1" "$3" "$2"
+}
+
+serve() { # port credential model question order-path order-body
+  local port=$1 credential=$2 model=$3 question=$4 order_path=$5 order=$6 key
+  wait_serving "$port" "$credential" /v1/chat/completions -d "$(chat_body "$model" false "$question")"
+  echo "-- a completion through the first entry"
+  call "$port" "$credential" /v1/chat/completions -d "$(chat_body "$model" false "$question")"
+  echo
+  echo "-- a streamed completion through the second entry, over HTTP/2"
+  call $((port + 10)) "$credential" /v1/chat/completions --http2-prior-knowledge \
+    -d "$(chat_body "$model" true "$question")" | tail -n 4
+  key=demo-$RANDOM$RANDOM
+  wait_serving "$port" "$credential" /stock/probe
+  echo "-- an order, and the same order again through the other entry: it runs once"
+  call "$port" "$credential" "$order_path" -H "Idempotency-Key: $key" -d "$order"
+  echo
+  call $((port + 10)) "$credential" "$order_path" -H "Idempotency-Key: $key" -d "$order"
+  echo
+  echo "-- a wrong credential"
+  call "$port" wrong "$order_path" -d "$order"
+  echo
+}
+
+run platform bin/kingcuproadctl emulate-platform --port "$base_port"
+wait_for "$platform/standin/counters"
+deploy merrimack examples/merrimack/environment.jsonc $((base_port + 1000))
+serve $((base_port + 1000)) demo-andover refill-drafter "Draft a refill summary" /orders '{"item":"padded-envelope"}'
+deploy wierzbicki examples/wierzbicki/environment.jsonc $((base_port + 2000))
+serve $((base_port + 2000)) demo-lodz hem-drafter "How wide is the hem?" /orders '{"item":"voile"}'
+echo "== status of one entry"
+bin/kingcuproadctl status --entry "http://$host:$((base_port + 1001))" --environment merrimack
+if [ "${KINGCUPROAD_DEMO_KEEP:-}" = 1 ]; then
+  read -r -p "Press Enter to stop. " _
+fi
+echo "== stopping"
