Keep the map robust while the load changes often

Change: mean visit lengths; while they are short, up to 16 remembered patterns count as examples and the threshold grows with the share of new patterns. In debt the ledger lets a small share of time through, since a bad map would otherwise stay.

--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/placement/LoadInput.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/placement/LoadInput.java
@@ -3,6 +3,13 @@
 /** The true load of a group over virtual time. */
 interface LoadInput {
 
+    /**
+     * Returns the state that the first map is packed for: usual popularity and speed, without hot sets.
+     *
+     * @return the state
+     */
+    GroupState usual();
+
     /**
      * Returns the state at a time. Times are asked for in increasing order.
      *
--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/placement/SyntheticInput.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/placement/SyntheticInput.java
@@ -56,6 +56,13 @@
         otherHot = hotSets();
     }
 
+    @Override
+    public GroupState usual() {
+        double[] usualSpeed = new double[group.ranks()];
+        Arrays.fill(usualSpeed, 1);
+        return new GroupState(base, usualSpeed);
+    }
+
     @Override
     public GroupState at(long timeMs) {
         double seconds = (timeMs - lastMs) / 1000.0;
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/GainLedger.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/GainLedger.java
@@ -8,11 +8,15 @@
  */
 final class GainLedger {
 
+    /** Share of time that moves may cost while gains do not cover them; without it a bad map would stay for good. */
+    private static final double IN_DEBT_SHARE = 0.002;
+
     private final ExpertMap reference;
     private final double expertShareOfStep;
     private final double allowanceSeconds;
     private double savedSeconds;
     private double lostSeconds;
+    private long lastSpentMs;
 
     GainLedger(ExpertMap reference, double expertShareOfStep, double allowanceSeconds) {
         this.reference = reference;
@@ -28,8 +32,9 @@
         savedSeconds += seconds * ((1 - share + share * before) / (1 - share + share * now) - 1);
     }
 
-    void spend(double seconds) {
+    void spend(double seconds, long nowMs) {
         lostSeconds += seconds;
+        lastSpentMs = nowMs;
     }
 
     /** Returns the observed gain less the observed cost, in seconds of step time. */
@@ -38,7 +43,11 @@
     }
 
     /** Returns the step time that further moves may cost, in seconds. */
-    double availableSeconds() {
-        return lostSeconds == 0 ? Math.max(allowanceSeconds, savedSeconds) : Math.max(0, balanceSeconds());
+    double availableSeconds(long nowMs) {
+        if (lostSeconds == 0) {
+            return Math.max(allowanceSeconds, savedSeconds);
+        }
+        double trickle = IN_DEBT_SHARE * (nowMs - lastSpentMs) / 1000.0;
+        return Math.max(trickle, balanceSeconds());
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LoadTracker.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LoadTracker.java
@@ -15,7 +15,7 @@
 final class LoadTracker {
 
     /** Patterns are remembered for this multiple of the payback horizon. */
-    private static final double MEMORY_MULTIPLE = 2;
+    static final double MEMORY_MULTIPLE = 2;
 
     private final ModelGroup group;
     private final PatternTracker patterns;
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PatternTracker.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PatternTracker.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.policy.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -9,7 +10,9 @@
  * Sorts load samples into patterns.
  *
  * <p>Slow drift moves the mean of the pattern in force. A sample far away from all patterns starts a new one. Patterns
- * that do not last long enough to be planned for share one average, the background.
+ * that do not last long enough to be planned for share one average, the background. While the load changes often, all
+ * remembered patterns count as examples of what may come next, because a map made for one of them is worse than an even
+ * one for the others.
  */
 final class PatternTracker {
 
@@ -19,19 +22,22 @@
     /** A sample farther away than this multiple of the usual distance belongs to another pattern. */
     private static final double DISTANCE_MULTIPLE = 3;
 
+    private static final double NOVELTY = 0.3;
+
     private static final double DISTANCE_SMOOTHING = 0.05;
 
     /** Bounds memory and planning time; the pattern with the least weight makes room. */
-    private static final int MOST_PATTERNS = 6;
+    private static final int MOST_PATTERNS = 16;
 
     /** Patterns below this share of the weight do not influence the plan. */
-    private static final double LEAST_SHARE = 0.05;
+    private static final double LEAST_SHARE = 0.02;
 
     private final PlacementTuning tuning;
     private final double memorySeconds;
     private final List<LoadPattern> patterns = new ArrayList<>();
     private Optional<LoadPattern> current = Optional.empty();
     private Optional<LoadPattern> background = Optional.empty();
+    private final VisitLengths visits = new VisitLengths();
     private double usualDistance;
     private double deviation;
     private double backgroundDeviation;
@@ -55,25 +61,31 @@
         smoothing = 1 - Math.exp(-Math.max(seconds, 1) / tuning.smoothingSeconds());
         averageBackground(shares, takenAtMs, seconds);
         LoadPattern nearest = nearest(shares, takenAtMs);
-        boolean returned = current.isPresent() && current.get() != nearest;
-        nearest.seen(takenAtMs, seconds, returned && nearest.dwellSeconds() > 0);
+        visits.fade(fade);
+        boolean changed = current.isPresent() && current.get() != nearest;
+        if (changed) {
+            visits.ended(nearest.dwellSeconds() > 0);
+        }
+        visits.lasted(seconds);
+        nearest.seen(takenAtMs, seconds, changed && nearest.dwellSeconds() > 0);
         current = Optional.of(nearest);
     }
 
     List<Scenario> scenarios(double[] slowness) {
-        List<LoadPattern> lasting = patterns.stream().filter(this::lasts).toList();
-        double[] weights = lasting.stream()
-                .mapToDouble(pattern -> pattern.weight(lastMs, tuning.qualifySeconds()))
+        boolean changing = visits.areShort(horizonSeconds());
+        List<LoadPattern> counted =
+                patterns.stream().filter(pattern -> changing || lasts(pattern)).toList();
+        double[] weights = counted.stream()
+                .mapToDouble(pattern -> changing
+                        ? pattern.dwellSeconds() + (isCurrent(pattern) ? visits.expectedSeconds() : 0)
+                        : pattern.weight(lastMs, tuning.qualifySeconds()))
                 .toArray();
-        double known = lasting.stream().mapToDouble(LoadPattern::dwellSeconds).sum();
+        double known = counted.stream().mapToDouble(LoadPattern::dwellSeconds).sum();
         double unknown = Math.max(0, memoryAgeSeconds - known);
-        double total = unknown;
-        for (double weight : weights) {
-            total += weight;
-        }
+        double total = unknown + Arrays.stream(weights).sum();
         List<Scenario> scenarios = new ArrayList<>();
         for (int i = 0; i < weights.length; i++) {
-            addScenario(scenarios, lasting.get(i), weights[i] / total, slowness);
+            addScenario(scenarios, counted.get(i), weights[i] / total, slowness);
         }
         double unknownShare = unknown / total;
         background.ifPresent(pattern -> addScenario(scenarios, pattern, unknownShare, slowness));
@@ -85,6 +97,11 @@
 
     /** Returns the standard error of the load of an expert, as a share of it. */
     double loadError() {
+        if (visits.areShort(horizonSeconds())) {
+            // Patterns that do not return are a small sample of what may come; a plan fits them better than the next
+            // one.
+            return deviation + visits.novelty() * backgroundDeviation * NOVELTY / Math.sqrt(visits.changes());
+        }
         double known = patterns.stream()
                 .filter(this::lasts)
                 .mapToDouble(pattern -> deviation * Math.sqrt(pattern.varianceShare(smoothing)))
@@ -95,6 +112,9 @@
 
     /** Returns the time that the load has been observed for, in seconds. */
     double evidenceSeconds() {
+        if (visits.areShort(horizonSeconds())) {
+            return memoryAgeSeconds;
+        }
         return patterns.stream()
                 .filter(this::lasts)
                 .mapToDouble(LoadPattern::dwellSeconds)
@@ -108,6 +128,14 @@
                 .orElse(1.0);
     }
 
+    private boolean isCurrent(LoadPattern pattern) {
+        return current.isPresent() && current.get() == pattern;
+    }
+
+    private double horizonSeconds() {
+        return memorySeconds / LoadTracker.MEMORY_MULTIPLE;
+    }
+
     private boolean lasts(LoadPattern pattern) {
         return pattern.dwellSeconds() >= tuning.qualifySeconds();
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementController.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementController.java
@@ -142,15 +142,15 @@
         if (plan.isEmpty()) {
             return new PlacementDecision.Keep(KeepReason.NO_PAYBACK);
         }
-        remaining = affordable(plan.targets());
+        remaining = affordable(plan.targets(), nowMs);
         if (remaining.isEmpty()) {
             return new PlacementDecision.Keep(KeepReason.GAINS_NOT_OBSERVED);
         }
         return startPiece(nowMs);
     }
 
-    private List<LayerTarget> affordable(List<LayerTarget> targets) {
-        double available = ledger.availableSeconds();
+    private List<LayerTarget> affordable(List<LayerTarget> targets, long nowMs) {
+        double available = ledger.availableSeconds(nowMs);
         List<LayerTarget> affordable = new ArrayList<>();
         for (LayerTarget target : targets) {
             available -= economics.lostSeconds(target.moves());
@@ -174,7 +174,7 @@
 
     private PlacementDecision startPiece(long nowMs) {
         MapPiece piece = cutter.next(map, remaining, nowMs);
-        ledger.spend(economics.lostSeconds(piece.moves().size()));
+        ledger.spend(economics.lostSeconds(piece.moves().size()), nowMs);
         inProgress = Optional.of(piece);
         return new PlacementDecision.Load(piece);
     }
