Scale load corrections to all entries and keep affinity under overload

Cause: four entries filled an upstream that looked idle, because each corrected a report only by its own requests; under overload, requests went to whichever upstream had a free place and lost the cached prefix.

Change: the correction is scaled by the ratio of reported to own load; prompts without a known upstream go to a home on a hash ring, the same at every entry; affinity may exceed the limit of an upstream by a quarter; admission subtracts the 95th percentile of the time from dispatch to first token, not the mean.

--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/routing/SimulatedEntry.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/routing/SimulatedEntry.java
@@ -6,11 +6,11 @@
 import org.kingcuproad.policy.admission.AdmissionDecision;
 import org.kingcuproad.policy.admission.AdmissionRequest;
 import org.kingcuproad.policy.admission.FairAdmission;
+import org.kingcuproad.policy.admission.LatencyQuantile;
 import org.kingcuproad.policy.admission.QueueHead;
 import org.kingcuproad.policy.admission.RetryBudget;
 import org.kingcuproad.policy.admission.Ticket;
 import org.kingcuproad.policy.admission.WorkspaceShare;
-import org.kingcuproad.policy.routing.DecayingMean;
 import org.kingcuproad.policy.routing.LoadReport;
 import org.kingcuproad.policy.routing.NoChoiceReason;
 import org.kingcuproad.policy.routing.Outcome;
@@ -29,7 +29,7 @@
     private static final int BASELINE_RETRIES = 2;
 
     private static final int MAX_QUEUED = 1_000;
-    private static final double EXPECTATION_WINDOW_MS = 2_000;
+    private static final double MIN_FIRST_TOKEN_MS = 50;
     private static final long CLIENT_MICROS = 1_000;
     private static final long SAME_DATA_CENTRE_MICROS = 100;
     private static final long OTHER_DATA_CENTRE_MICROS = 500;
@@ -42,7 +42,7 @@
     private final Measures measures;
     private final FairAdmission<Call> admission = new FairAdmission<>(MAX_QUEUED);
     private final RetryBudget budget = new RetryBudget(RETRY_BUDGET_RATIO, MAX_SAVED_ATTEMPTS);
-    private final DecayingMean firstTokenMs = new DecayingMean(EXPECTATION_WINDOW_MS);
+    private final LatencyQuantile firstTokenMs = new LatencyQuantile(MIN_FIRST_TOKEN_MS);
 
     SimulatedEntry(
             ExperimentPolicy policy,
@@ -92,7 +92,7 @@
             return;
         }
         long nowMs = time.nowMs();
-        double expectedMs = firstTokenMs.value() * firstTokenMs.freshness(nowMs);
+        double expectedMs = firstTokenMs.valueMs(nowMs);
         AdmissionRequest features =
                 new AdmissionRequest(call.workspace(), 1, Measures.FIRST_TOKEN_OBJECTIVE_MS, expectedMs);
         switch (admission.offer(call, features, nowMs)) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/HedgePolicy.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/HedgePolicy.java
@@ -9,45 +9,32 @@
  */
 public final class HedgePolicy {
 
-    /** Requests slower than this quantile may be hedged, which leaves half of a 10% budget to retries. */
-    private static final double QUANTILE = 0.95;
-
-    /** Relative step of the estimate; 37 slower observations in a row double it. */
-    private static final double STEP = 0.02;
-
     private final RetryBudget budget;
+    private final LatencyQuantile firstTokenMs;
     private final double minDelayMs;
-    private double quantileMs;
 
     /**
      * Creates a policy.
      *
      * @param budget budget shared with retries
-     * @param minDelayMs shortest delay before a hedge, and the first estimate, in milliseconds
+     * @param firstTokenMs estimate of the time to first token; half of a 10% budget remains for retries, because hedges
+     *     go to the slowest 5% of requests
+     * @param minDelayMs shortest delay before a hedge, in milliseconds
      */
-    public HedgePolicy(RetryBudget budget, double minDelayMs) {
+    public HedgePolicy(RetryBudget budget, LatencyQuantile firstTokenMs, double minDelayMs) {
         this.budget = budget;
+        this.firstTokenMs = firstTokenMs;
         this.minDelayMs = minDelayMs;
-        this.quantileMs = minDelayMs;
-    }
-
-    /**
-     * Notes the time to first token of an attempt.
-     *
-     * @param latencyMs the time, in milliseconds
-     */
-    public void onFirstToken(double latencyMs) {
-        double direction = latencyMs > quantileMs ? QUANTILE : QUANTILE - 1;
-        quantileMs = Math.max(minDelayMs, quantileMs * (1 + STEP * direction));
     }
 
     /**
      * Returns when an attempt without an answer may be hedged.
      *
+     * @param nowMs current time, in milliseconds
      * @return time since the attempt was sent, in milliseconds
      */
-    public double delayMs() {
-        return quantileMs;
+    public double delayMs(long nowMs) {
+        return Math.max(minDelayMs, firstTokenMs.valueMs(nowMs));
     }
 
     /**
@@ -56,9 +43,10 @@
      * @param idempotent whether the request may run more than once
      * @param answered whether any byte of a response arrived
      * @param waitedMs time since the attempt was sent, in milliseconds
+     * @param nowMs current time, in milliseconds
      * @return whether a second attempt may be sent to another upstream
      */
-    public boolean tryHedge(boolean idempotent, boolean answered, double waitedMs) {
-        return idempotent && !answered && waitedMs >= quantileMs && budget.tryExtraAttempt();
+    public boolean tryHedge(boolean idempotent, boolean answered, double waitedMs, long nowMs) {
+        return idempotent && !answered && waitedMs >= delayMs(nowMs) && budget.tryExtraAttempt();
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/AffinityRouter.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/AffinityRouter.java
@@ -16,6 +16,16 @@
     /** A match shorter than this part of the prompt saves little prefill and would only unbalance the load. */
     private static final double MIN_MATCH_SHARE = 0.25;
 
+    /** Blocks that decide the home of a prompt; 1 KiB tells the instructions of most applications apart. */
+    private static final int HOME_BLOCKS = 4;
+
+    /**
+     * Homes tried for one prompt, so that the overflow of a popular prefix goes to the same upstream at every entry.
+     */
+    private static final int HOMES = 2;
+
+    private static final long NEXT_HOME = 0x9e3779b97f4a7c15L;
+
     private final RouterSettings settings;
     private final String dataCentre;
     private final SplittableRandom random;
@@ -100,7 +110,7 @@
         } else {
             group.makeAvailable(state, nowMs);
         }
-        group.refresh(state, nowMs);
+        group.reported(state, nowMs);
         for (CacheEvent event : report.cacheEvents()) {
             if (event.evicted()) {
                 prefixes.remove(event.prefixHash(), state.slot());
@@ -126,6 +136,10 @@
             return chosen(group, match.state(), ChoiceReason.PREFIX_AFFINITY, match.blocks(), nowMs);
         }
         CandidateSampler sampler = new CandidateSampler(group, request.excludedUpstreams(), random, settings, nowMs);
+        UpstreamState home = home(group, request.prefix(), sampler);
+        if (home != null) {
+            return chosen(group, home, ChoiceReason.PREFIX_HOME, 0, nowMs);
+        }
         UpstreamState local = sampler.betterOfTwo(group.local());
         if (local != null && sampler.withinBound(local)) {
             return chosen(group, local, ChoiceReason.BETTER_OF_TWO, 0, nowMs);
@@ -151,7 +165,7 @@
 
     private RoutingDecision chosen(
             GroupState group, UpstreamState state, ChoiceReason reason, int matchedBlocks, long nowMs) {
-        double load = state.load(nowMs);
+        double load = group.load(state, nowMs);
         double expectedMs = state.firstTokenMs().freshness(nowMs) > 0
                 ? state.firstTokenMs().value()
                 : group.firstTokenMs().value();
@@ -159,6 +173,20 @@
         return new RoutingDecision.Chosen(state.upstream().name(), reason, load, matchedBlocks, expectedMs * crowding);
     }
 
+    private static @Nullable UpstreamState home(GroupState group, PromptPrefix prefix, CandidateSampler sampler) {
+        if (prefix.blocks() == 0) {
+            return null;
+        }
+        long hash = prefix.hash(Math.min(HOME_BLOCKS, prefix.blocks()) - 1);
+        for (int home = 0; home < HOMES; home++) {
+            UpstreamState state = group.ring().home(hash + home * NEXT_HOME);
+            if (state != null && sampler.usableByAffinity(state)) {
+                return state;
+            }
+        }
+        return null;
+    }
+
     private @Nullable Match longestMatch(GroupState group, RequestFeatures request, long nowMs) {
         PromptPrefix prefix = request.prefix();
         CandidateSampler sampler = new CandidateSampler(group, request.excludedUpstreams(), random, settings, nowMs);
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/CandidateSampler.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/CandidateSampler.java
@@ -11,8 +11,12 @@
     /** Upstreams looked at for one candidate, apart from excluded ones; enough to pass a few that are saturated. */
     private static final int MAX_STEPS = 8;
 
-    /** Load over the limit that is still dispatched, so that an upstream does not run dry between two reports. */
-    private static final double OVERCOMMIT = 1.125;
+    /**
+     * Load over the limit that affinity may still dispatch. Under overload every upstream is full; without this room
+     * each request goes to whichever upstream has a free place, and the cache hit share falls to that of a random
+     * choice.
+     */
+    private static final double AFFINITY_OVERCOMMIT = 1.25;
 
     private final GroupState group;
     private final Set<String> excluded;
@@ -51,7 +55,7 @@
         UpstreamState returning = null;
         for (int step = 0; step < steps; step++) {
             UpstreamState state = list.get((start + step) % size);
-            if (state == other || !mayTake(state)) {
+            if (state == other || !mayTake(state, 1)) {
                 continue;
             }
             double share = state.ejection().share(nowMs);
@@ -85,7 +89,10 @@
      * @return whether it is available, not excluded, not in a slow return, and within the load bound
      */
     boolean usableByAffinity(UpstreamState state) {
-        return state.available() && mayTake(state) && state.ejection().share(nowMs) >= 1 && withinBound(state);
+        return state.available()
+                && mayTake(state, AFFINITY_OVERCOMMIT)
+                && state.ejection().share(nowMs) >= 1
+                && withinBound(state);
     }
 
     /**
@@ -111,7 +118,7 @@
         return excludedAvailable == group.available().size() ? NoChoiceReason.ALL_EXCLUDED : NoChoiceReason.SATURATED;
     }
 
-    private boolean mayTake(UpstreamState state) {
+    private boolean mayTake(UpstreamState state, double overcommit) {
         if (isExcluded(state)) {
             return false;
         }
@@ -120,7 +127,7 @@
         if (share < 1 && state.outstanding() >= limit) {
             return false;
         }
-        return group.refresh(state, nowMs) < OVERCOMMIT * state.capacity();
+        return group.refresh(state, nowMs) < overcommit * state.capacity();
     }
 
     private boolean isExcluded(UpstreamState state) {
@@ -128,7 +135,7 @@
     }
 
     private double weightedLoad(UpstreamState state) {
-        return (state.load(nowMs) + 1) / state.capacity() * slowness(state);
+        return (group.load(state, nowMs) + 1) / state.capacity() * slowness(state);
     }
 
     /** Compares the upstream's time to first token with the group's; without fresh observations it counts as equal. */
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/ChoiceReason.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/ChoiceReason.java
@@ -6,6 +6,9 @@
     /** The upstream served the longest known prefix of the prompt and is within the load bound. */
     PREFIX_AFFINITY,
 
+    /** No upstream is known to have the prefix; this one is its home on the hash ring and is within the load bound. */
+    PREFIX_HOME,
+
     /** The upstream is the better of two candidates of the entry's own data centre. */
     BETTER_OF_TWO,
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
@@ -9,13 +9,22 @@
 /** Upstreams of one group: which are available, their total load, and which return from an ejection next. */
 final class GroupState {
 
+    /** Entries join and leave over minutes, so their number may be averaged over many reports. */
+    private static final double PEER_WINDOW_MS = 10_000;
+
+    /** Limits the correction while the entry has little load of its own and so knows little about the others. */
+    private static final double MAX_PEER_FACTOR = 16;
+
     private final String dataCentre;
     private final DecayingMean firstTokenMs;
+    private final DecayingMean reportedLoad = new DecayingMean(PEER_WINDOW_MS);
+    private final DecayingMean ownLoad = new DecayingMean(PEER_WINDOW_MS);
     private final List<UpstreamState> available = new ArrayList<>();
     private final List<UpstreamState> local = new ArrayList<>();
     private final PriorityQueue<UpstreamState> ejected = new PriorityQueue<>(
             Comparator.<UpstreamState>comparingLong(state -> state.ejection().untilMs())
                     .thenComparingInt(UpstreamState::slot));
+    private final HashRing ring = new HashRing();
     private double totalLoad;
     private long totalCapacity;
     private int members;
@@ -50,6 +59,7 @@
         }
         state.setPosition(available.size());
         available.add(state);
+        ring.add(state);
         if (state.upstream().dataCentre().equals(dataCentre)) {
             state.setLocalPosition(local.size());
             local.add(state);
@@ -64,6 +74,7 @@
         if (!state.available()) {
             return;
         }
+        ring.remove(state);
         UpstreamState last = available.removeLast();
         if (last != state) {
             available.set(state.position(), last);
@@ -120,6 +131,22 @@
         return next;
     }
 
+    void reported(UpstreamState state, long nowMs) {
+        reportedLoad.add(state.reportedLoad(), nowMs);
+        ownLoad.add(state.ownAtReport(), nowMs);
+        refresh(state, nowMs);
+    }
+
+    double load(UpstreamState state, long nowMs) {
+        return state.load(nowMs, peerFactor());
+    }
+
+    /** Returns the load of all entries as a multiple of this entry's, averaged over the group. */
+    double peerFactor() {
+        double factor = reportedLoad.value() / Math.max(ownLoad.value(), 1 / MAX_PEER_FACTOR);
+        return Math.max(1, Math.min(MAX_PEER_FACTOR, factor));
+    }
+
     /**
      * Brings the sum of loads up to date with one upstream.
      *
@@ -128,7 +155,7 @@
      * @return the estimated load of the upstream
      */
     double refresh(UpstreamState state, long nowMs) {
-        double load = state.load(nowMs);
+        double load = load(state, nowMs);
         if (state.available()) {
             totalLoad += load - state.countedLoad();
             state.setCountedLoad(load);
@@ -147,6 +174,10 @@
         return Math.ceil(factor * (totalLoad + 1) * state.capacity() / Math.max(1, totalCapacity));
     }
 
+    HashRing ring() {
+        return ring;
+    }
+
     List<UpstreamState> available() {
         return available;
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/UpstreamState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/UpstreamState.java
@@ -98,17 +98,18 @@
     }
 
     /**
-     * Estimates the load: the last report, plus what this entry dispatched and minus what it finished since the report
-     * was taken.
+     * Estimates the load: the last report, plus what was dispatched and minus what was finished since the report was
+     * taken. The entry knows its own part of this change and scales it up to that of all entries.
      *
      * @param nowMs current time, in milliseconds
+     * @param peerFactor load of all entries as a multiple of this entry's
      * @return estimated requests on the upstream, never fewer than this entry's own
      */
-    double load(long nowMs) {
+    double load(long nowMs, double peerFactor) {
         if (!reported || nowMs - reportTakenMs > REPORT_EXPIRY_MS) {
             return outstanding;
         }
-        return Math.max(outstanding, reportedLoad + outstanding - ownAtReport);
+        return Math.max(outstanding, reportedLoad + peerFactor * (outstanding - ownAtReport));
     }
 
     RoutedUpstream upstream() {
@@ -139,6 +140,14 @@
         return leaving;
     }
 
+    int reportedLoad() {
+        return reportedLoad;
+    }
+
+    int ownAtReport() {
+        return ownAtReport;
+    }
+
     int outstanding() {
         return outstanding;
     }
