Reserve room for workspaces within their share

Cause: with one workspace at ten times its share, the others waited in full upstreams although fair queueing served them first.

Change: above 85% utilisation, a workspace that asks for more than twice its fair share, and gets at least that share, is held back. Probes of a group whose upstreams are all ejected go out once a second, not four times.

--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/routing/BaselineRouter.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/routing/BaselineRouter.java
@@ -49,6 +49,11 @@
         return new RoutingDecision.Chosen(selected.name(), ChoiceReason.BETTER_OF_TWO, load, 0, 0);
     }
 
+    @Override
+    public double utilisation(String group) {
+        return 0;
+    }
+
     @Override
     public void onDispatched(String upstream, PromptPrefix prefix, long nowMs) {}
 
--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/routing/SimulatedEntry.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/routing/SimulatedEntry.java
@@ -104,7 +104,7 @@
     private void drain() {
         boolean more = policy.hasAdmission();
         while (more) {
-            more = switch (admission.poll(time.nowMs())) {
+            more = switch (admission.poll(time.nowMs(), router.utilisation(Simulation.GROUP))) {
                 case QueueHead.Empty<Call> empty -> false;
                 case QueueHead.Late<Call> late -> {
                     Call call = late.ticket().request();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/DepartureRate.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/DecayingSum.java
@@ -1,15 +1,15 @@
 package org.kingcuproad.policy.admission;
 
-/** Rate at which work leaves the queue, averaged with exponential decay. */
-final class DepartureRate {
+/** Sum of costs in which older ones fade exponentially. */
+final class DecayingSum {
 
     private final double windowMs;
-    private double decayedCost;
+    private double sum;
     private long lastMs;
     private long startMs;
     private boolean started;
 
-    DepartureRate(double windowMs) {
+    DecayingSum(double windowMs) {
         this.windowMs = windowMs;
     }
 
@@ -19,12 +19,16 @@
             startMs = nowMs;
             lastMs = nowMs;
         }
-        decayedCost = decayedCost * Math.exp(-(nowMs - lastMs) / windowMs) + cost;
+        sum = value(nowMs) + cost;
         lastMs = nowMs;
     }
 
+    double value(long nowMs) {
+        return sum * Math.exp(-(nowMs - lastMs) / windowMs);
+    }
+
     /**
-     * Returns the rate.
+     * Returns the rate of costs.
      *
      * @param nowMs current time, in milliseconds
      * @return cost a millisecond, or infinity as long as too little is known to refuse anything
@@ -34,7 +38,6 @@
         if (!started || ageMs < windowMs / 4) {
             return Double.POSITIVE_INFINITY;
         }
-        double covered = windowMs * (1 - Math.exp(-ageMs / windowMs));
-        return decayedCost * Math.exp(-(nowMs - lastMs) / windowMs) / covered;
+        return value(nowMs) / (windowMs * (1 - Math.exp(-ageMs / windowMs)));
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/FairAdmission.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/FairAdmission.java
@@ -24,13 +24,20 @@
     /** Time constant of the departure rate: long against gaps between departures, short against a loss of upstreams. */
     private static final double RATE_WINDOW_MS = 2_000;
 
+    /**
+     * Utilisation above which a workspace far over its share gets only that share. The rest is a reserve: others find
+     * free places at once, although the upstreams are overloaded by the one.
+     */
+    private static final double RESERVE_UTILISATION = 0.85;
+
     private final int maxQueuedTotal;
     private final Map<String, Flow<T>> flows = new HashMap<>();
     private final TreeSet<Flow<T>> eligible =
             new TreeSet<>(Comparator.<Flow<T>>comparingDouble(Flow::startTag).thenComparingInt(Flow::order));
     private final TreeSet<Ticket<T>> byDeadline = new TreeSet<>(
             Comparator.<Ticket<T>>comparingLong(Ticket::dispatchByMs).thenComparingLong(Ticket::sequence));
-    private final DepartureRate rate = new DepartureRate(RATE_WINDOW_MS);
+    private final DecayingSum rate = new DecayingSum(RATE_WINDOW_MS);
+    private final DemandMeter<T> demand = new DemandMeter<>();
     private double virtualTime;
     private double queuedCost;
     private long backloggedWeight;
@@ -91,6 +98,7 @@
         if (flow == null || !flow.configured()) {
             return new AdmissionDecision.Refused<>(ErrorKind.FORBIDDEN, "the workspace is not in the document");
         }
+        demand.offered(flow, features.cost(), nowMs);
         if (flow.queued() >= flow.share().maxQueued()) {
             return new AdmissionDecision.Refused<>(
                     ErrorKind.WORKSPACE_LIMIT, "the workspace has " + flow.queued() + " waiting requests");
@@ -145,19 +153,36 @@
     }
 
     /**
-     * Returns what can be done now. The entry calls this until it is {@link QueueHead.Empty} or no upstream has room.
+     * Returns what can be done now, without a reserve for workspaces within their share.
      *
      * @param nowMs current time, in milliseconds
      * @return a late request, the next request in fair order, or nothing
      */
     public QueueHead<T> poll(long nowMs) {
+        return poll(nowMs, 0);
+    }
+
+    /**
+     * Returns what can be done now. The entry calls this until it is {@link QueueHead.Empty} or no upstream has room.
+     *
+     * @param nowMs current time, in milliseconds
+     * @param utilisation estimated load of the group's upstreams as a ratio of their limits
+     * @return a late request, the next request in fair order, or nothing
+     */
+    public QueueHead<T> poll(long nowMs, double utilisation) {
         if (!byDeadline.isEmpty() && byDeadline.first().dispatchByMs() < nowMs) {
             Ticket<T> late = byDeadline.first();
             dequeue(late);
             return new QueueHead.Late<>(late, ErrorKind.OVERLOADED);
         }
-        Ticket<T> head = eligible.isEmpty() ? null : eligible.first().head();
-        return head == null ? new QueueHead.Empty<>() : new QueueHead.Ready<>(head);
+        for (Flow<T> flow : eligible) {
+            Ticket<T> head = flow.head();
+            boolean heldBack = utilisation >= RESERVE_UTILISATION && demand.exceedsShare(flow, nowMs);
+            if (head != null && !heldBack) {
+                return new QueueHead.Ready<>(head);
+            }
+        }
+        return new QueueHead.Empty<>();
     }
 
     /**
@@ -174,7 +199,8 @@
         eligible.remove(flow);
         flow.setEligible(false);
         virtualTime = Math.max(virtualTime, flow.startTag());
-        flow.served(ticket.cost());
+        flow.advance(ticket.cost());
+        demand.served(flow, ticket.cost(), nowMs);
         rate.add(ticket.cost(), nowMs);
         dequeue(ticket);
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/Flow.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/admission/Flow.java
@@ -14,6 +14,8 @@
     private final String name;
     private final int order;
     private final Deque<Ticket<T>> tickets = new ArrayDeque<>(1);
+    private final DecayingSum offered = new DecayingSum(DemandMeter.WINDOW_MS);
+    private final DecayingSum served = new DecayingSum(DemandMeter.WINDOW_MS);
     private WorkspaceShare share;
     private double startTag;
     private double finishTag;
@@ -60,7 +62,7 @@
         startTag = Math.max(virtualTime, finishTag);
     }
 
-    void served(double cost) {
+    void advance(double cost) {
         finishTag = startTag + cost / share.weight();
         startTag = finishTag;
         inFlight++;
@@ -78,6 +80,14 @@
         return queued == 0 && inFlight == 0;
     }
 
+    DecayingSum offered() {
+        return offered;
+    }
+
+    DecayingSum served() {
+        return served;
+    }
+
     String name() {
         return name;
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/AffinityRouter.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/AffinityRouter.java
@@ -209,6 +209,12 @@
         return null;
     }
 
+    @Override
+    public double utilisation(String group) {
+        GroupState state = groups.get(group);
+        return state == null ? 1 : state.utilisation();
+    }
+
     @Override
     public void onDispatched(String upstream, PromptPrefix prefix, long nowMs) {
         UpstreamState state = states.get(upstream);
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
@@ -174,6 +174,10 @@
         return Math.ceil(factor * (totalLoad + 1) * state.capacity() / Math.max(1, totalCapacity));
     }
 
+    double utilisation() {
+        return totalCapacity == 0 ? 1 : totalLoad / totalCapacity;
+    }
+
     HashRing ring() {
         return ring;
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/RouterSettings.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/RouterSettings.java
@@ -30,7 +30,7 @@
      * @return the default settings
      */
     public static RouterSettings defaults() {
-        return new RouterSettings(1.25, 65_536, 3, 1_000, 60_000, 10_000, 250, 2_000, 4.0);
+        return new RouterSettings(1.25, 65_536, 3, 1_000, 60_000, 10_000, 1_000, 2_000, 4.0);
     }
 
     /**
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/UpstreamRouter.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/UpstreamRouter.java
@@ -52,6 +52,14 @@
      */
     RoutingDecision choose(RequestFeatures request, long nowMs);
 
+    /**
+     * Returns how full the available upstreams of a group are.
+     *
+     * @param group model group or service
+     * @return estimated load as a ratio of the limits; 1 if no upstream is available
+     */
+    double utilisation(String group);
+
     /**
      * Notes that a request was sent to an upstream.
      *
