Queue at the agent and claim keyed orders in the store

Cause: entries limit what they send by reports up to a second old, so an agent that refuses the excess turns it into errors; keyed orders were refused altogether. Agent options gain the queue limit and the place of the claims. Keyed orders have no test yet. Conclusion: the queue tells a late request "not run" with certainty; claims need tests.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
@@ -17,6 +17,9 @@
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
+import org.kingcuproad.platform.HttpObjectStore;
+import org.kingcuproad.platform.ObjectStore;
+import org.kingcuproad.platform.ObjectStoreSettings;
 import org.kingcuproad.runtime.http.HttpServer;
 import org.kingcuproad.runtime.http.HttpServerSettings;
 import org.kingcuproad.runtime.http.OperationsHandler;
@@ -41,6 +44,7 @@
     private final CompletableFuture<Void> idle = new CompletableFuture<>();
     private final Reports reports;
     private final UpstreamClient client;
+    private final @Nullable ObjectStore store;
     private final AgentCore core;
     private final @Nullable LoadPoll load;
     private final Server server;
@@ -51,7 +55,10 @@
         this.clockMs = clockMs;
         AgentTiming timing = options.timing();
         this.client = new UpstreamClient(eventLoops, options.upstreamUrl(), timing);
-        this.core = new AgentCore(options, clockMs, client, UnavailableStore::new, () -> idle.complete(null));
+        this.store = options.claims().enabled()
+                ? HttpObjectStore.open(ObjectStoreSettings.of(options.claims().platformUrl()), eventLoops)
+                : null;
+        this.core = new AgentCore(options, clockMs, client, this::claimGate, () -> idle.complete(null));
         this.load = options.reportsLoad() ? new LoadPoll(client, timing.reportIntervalMs(), clockMs.getAsLong()) : null;
         this.reports = new Reports(this::report, timing.reportIntervalMs());
         this.server = listen();
@@ -125,6 +132,9 @@
         loop.execute(reports::close);
         server.shutdown();
         admin.close();
+        if (store != null) {
+            store.close();
+        }
         try {
             client.close();
         } catch (IOException failure) {
@@ -144,6 +154,11 @@
         return onLoop(core::running);
     }
 
+    /** Counts the requests that wait for a place at the upstream, for tests. */
+    int queuedRequests() {
+        return onLoop(core::queued);
+    }
+
     /** Counts the bytes in response buffers, for tests. */
     long bufferedBytes() {
         return onLoop(core::bufferedBytes);
@@ -153,6 +168,12 @@
         return loop.submit(question).syncUninterruptibly().getNow();
     }
 
+    private ClaimGate claimGate(AgentCore owner) {
+        return store == null
+                ? new UnavailableStore(owner)
+                : new StoreClaims(owner, options, store, loop, System::currentTimeMillis);
+    }
+
     private void tick() {
         long nowMs = clockMs.getAsLong();
         core.tick();
@@ -188,6 +209,7 @@
                 .setUpstream(options.upstream())
                 .setIncarnation(core.incarnation())
                 .setInFlight(core.running())
+                .setQueued(core.queued())
                 .setLeaving(core.leaving());
         return load == null ? report : load.addTo(report, clockMs.getAsLong());
     }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentCore.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentCore.java
@@ -1,11 +1,12 @@
 package org.kingcuproad.agent;
 
 import io.opentelemetry.api.trace.SpanKind;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -27,6 +28,9 @@
 /** Carries out the decisions of the execution record. Lives on the event loop of the agent. */
 final class AgentCore {
 
+    private static final String OVERLOADED_DETAIL =
+            "the upstream runs as many requests as it may and the queue is full";
+
     private final AgentOptions options;
     private final LongSupplier clockMs;
     private final UpstreamClient client;
@@ -39,6 +43,8 @@
     private final Map<String, Set<ExecuteStream>> waiters = new HashMap<>();
     private final Set<ExecuteStream> streams = new LinkedHashSet<>();
     private final Runnable onIdle;
+    private final Deque<Run> queue = new ArrayDeque<>();
+    private int active;
     private int running;
     private boolean leaving;
 
@@ -56,6 +62,7 @@
         this.onIdle = onIdle;
         this.gate = gate.apply(this);
         metrics.gauge("runs.running", () -> running);
+        metrics.gauge("runs.queued", queue::size);
         metrics.gauge("connections.open", streams::size);
         metrics.gauge("buffers.bytes", budget::usedBytes);
     }
@@ -80,6 +87,10 @@
         return running;
     }
 
+    int queued() {
+        return queue.size();
+    }
+
     boolean leaving() {
         return leaving;
     }
@@ -114,7 +125,7 @@
             return;
         }
         if (dispatch.getIdempotent() && full() && !runs.containsKey(dispatch.getRequestId())) {
-            stream.refuse(ErrorKind.OVERLOADED, "the upstream runs as many requests as it may");
+            stream.refuse(ErrorKind.OVERLOADED, OVERLOADED_DETAIL);
             return;
         }
         Order order = Orders.of(dispatch);
@@ -171,7 +182,8 @@
         if (run.ended() || !record.beginClaimed(run.order().requestId(), nowMs())) {
             return false;
         }
-        start(run);
+        run.grant();
+        startOrQueue(run);
         return true;
     }
 
@@ -184,7 +196,7 @@
     void claimAnswered(Run run, List<ResponseFrame> frames) {
         if (!run.ended()) {
             record.abandonClaim(run.order().requestId(), nowMs());
-            running--;
+            active--;
             run.replay(frames);
         }
     }
@@ -206,17 +218,22 @@
      * @param run the run
      */
     void runEnded(Run run) {
-        running--;
+        active--;
+        if (run.started()) {
+            running--;
+        } else {
+            queue.remove(run);
+        }
         String requestId = run.order().requestId();
         if (run.sent()) {
             record.finish(requestId, run.kept().outcome(), nowMs());
-            if (run.claimed()) {
-                gate.finished(run);
-            }
         } else {
             record.neverRan(requestId, nowMs());
             record.abandonClaim(requestId, nowMs());
         }
+        if (run.granted()) {
+            gate.finished(run);
+        }
         ErrorKind failure = run.failure();
         if (failure == null) {
             metrics.completed(nowMs() - run.startedMs());
@@ -225,6 +242,7 @@
         }
         run.log(nowMs());
         answerWaiters(run);
+        startNext();
     }
 
     /** Notes that the response of a run was delivered or given up. */
@@ -250,10 +268,12 @@
         List.copyOf(streams).forEach(stream -> stream.tick(nowMs));
         List.copyOf(runs.values()).forEach(run -> run.tick(nowMs));
         runs.values().removeIf(run -> run.closed() && nowMs - run.closedMs() >= ResponseBuffer.EXPIRY_MS);
+        gate.tick();
+        tellIdle();
     }
 
     private boolean full() {
-        return running >= options.maxConcurrent();
+        return active >= options.maxConcurrent() + options.maxQueued();
     }
 
     private void admit(Dispatch dispatch, Order order, ExecuteStream stream, boolean claim) {
@@ -261,23 +281,35 @@
             // The record then counts the attempt as fenced, so that the refusal stays true for a late copy.
             record.neverRan(order.requestId(), nowMs());
             record.abandonClaim(order.requestId(), nowMs());
-            stream.refuse(ErrorKind.OVERLOADED, "the upstream runs as many requests as it may");
+            stream.refuse(ErrorKind.OVERLOADED, OVERLOADED_DETAIL);
             return;
         }
         long limitMs = dispatch.getDeadlineMs() == 0 ? timing().runLimitMs() : dispatch.getDeadlineMs();
-        Run run = new Run(this, dispatch, order, budget, claim, nowMs() + limitMs, nowMs());
-        running++;
+        Run run = new Run(this, dispatch, order, budget, nowMs() + limitMs, nowMs());
+        active++;
         metrics.accepted();
         runs.put(order.requestId(), run);
         run.attach(stream, 0, false);
         if (claim) {
             gate.claim(run);
         } else {
-            start(run);
+            startOrQueue(run);
+        }
+    }
+
+    private void startOrQueue(Run run) {
+        queue.add(run);
+        startNext();
+    }
+
+    private void startNext() {
+        while (running < options.maxConcurrent() && !queue.isEmpty()) {
+            start(queue.remove());
         }
     }
 
     private void start(Run run) {
+        running++;
         run.start(client, tracing.start("agent.run", SpanKind.CLIENT, run.traceparent()));
     }
 
@@ -315,8 +347,7 @@
                     StoredAnswers.failure(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OUTCOME_UNKNOWN.meaning());
             waiting.forEach(stream -> stream.answer(unknown));
         } else {
-            List<ResponseFrame> frames =
-                    StoredAnswers.frames(Optional.of(run.kept().outcome()));
+            List<ResponseFrame> frames = StoredAnswers.frames(run.kept().outcome());
             waiting.forEach(stream -> stream.answer(frames));
         }
     }
@@ -334,7 +365,7 @@
     }
 
     private void tellIdle() {
-        if (leaving && running == 0 && runs.values().stream().allMatch(Run::closed)) {
+        if (leaving && active == 0 && gate.settled() && runs.values().stream().allMatch(Run::closed)) {
             onIdle.run();
         }
     }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
@@ -10,7 +10,9 @@
  * @param port port of the gRPC service, or 0 for any free one
  * @param adminPort port of the admin endpoints, or 0 for any free one
  * @param incarnation random number that distinguishes this start of the agent from all others
- * @param maxConcurrent requests that may run at the same time; further ones are refused
+ * @param maxConcurrent requests that may run at the same time; further ones wait
+ * @param maxQueued requests that may wait for one of these places
+ * @param claims where the claims of keyed orders are kept
  * @param traceSampleRatio ratio of the traces begun at this agent that are recorded, from 0 to 1
  * @param timing intervals and limits of time
  */
@@ -23,10 +25,14 @@
         int adminPort,
         long incarnation,
         int maxConcurrent,
+        int maxQueued,
+        ClaimOptions claims,
         double traceSampleRatio,
         AgentTiming timing) {
 
     private static final int DEFAULT_MAX_CONCURRENT = 32;
+    // Entries limit what they send by reports that are up to a second old; the queue takes the excess of that second.
+    private static final int DEFAULT_MAX_QUEUED = 128;
 
     /**
      * Creates options of an agent on free ports of the loopback address.
@@ -46,6 +52,8 @@
                 0,
                 incarnation,
                 DEFAULT_MAX_CONCURRENT,
+                DEFAULT_MAX_QUEUED,
+                ClaimOptions.none(),
                 0,
                 AgentTiming.standard());
     }
@@ -68,6 +76,8 @@
                 newAdminPort,
                 incarnation,
                 maxConcurrent,
+                maxQueued,
+                claims,
                 traceSampleRatio,
                 timing);
     }
@@ -88,17 +98,20 @@
                 adminPort,
                 incarnation,
                 maxConcurrent,
+                maxQueued,
+                claims,
                 traceSampleRatio,
                 timing);
     }
 
     /**
-     * Replaces the limit of concurrent requests.
+     * Replaces the limits of requests.
      *
      * @param newMaxConcurrent requests that may run at the same time
-     * @return a copy with the limit
+     * @param newMaxQueued requests that may wait
+     * @return a copy with the limits
      */
-    public AgentOptions withMaxConcurrent(int newMaxConcurrent) {
+    public AgentOptions withCapacity(int newMaxConcurrent, int newMaxQueued) {
         return new AgentOptions(
                 upstream,
                 upstreamUrl,
@@ -108,6 +121,30 @@
                 adminPort,
                 incarnation,
                 newMaxConcurrent,
+                newMaxQueued,
+                claims,
+                traceSampleRatio,
+                timing);
+    }
+
+    /**
+     * Replaces the place of the claims.
+     *
+     * @param newClaims where the claims of keyed orders are kept
+     * @return a copy with the place
+     */
+    public AgentOptions withClaims(ClaimOptions newClaims) {
+        return new AgentOptions(
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                maxConcurrent,
+                maxQueued,
+                newClaims,
                 traceSampleRatio,
                 timing);
     }
@@ -128,6 +165,8 @@
                 adminPort,
                 incarnation,
                 maxConcurrent,
+                maxQueued,
+                claims,
                 newTraceSampleRatio,
                 timing);
     }
@@ -148,6 +187,8 @@
                 adminPort,
                 incarnation,
                 maxConcurrent,
+                maxQueued,
+                claims,
                 traceSampleRatio,
                 newTiming);
     }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/ClaimGate.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/ClaimGate.java
@@ -1,6 +1,6 @@
 package org.kingcuproad.agent;
 
-/** Decides by the claims in the store whether a keyed order may run. Used on the event loop of the agent. */
+/** Decides by the claims in the store whether a keyed order may run. Lives on the event loop of the agent. */
 interface ClaimGate {
 
     /**
@@ -12,9 +12,19 @@
     void claim(Run run);
 
     /**
-     * Stores the outcome of an order whose claim was granted.
+     * Notes the end of an order whose claim was granted.
      *
      * @param run the ended order
      */
     void finished(Run run);
+
+    /** Lets time pass. */
+    void tick();
+
+    /**
+     * Tells whether the outcomes of ended orders had the time to reach the store.
+     *
+     * @return {@code true} if the agent may end
+     */
+    boolean settled();
 }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/LoadPoll.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/LoadPoll.java
@@ -38,8 +38,9 @@
     }
 
     AgentReport.Builder addTo(AgentReport.Builder report, long nowMs) {
-        return report.setQueued(queued).setTokensPerSecond(tokensPerSecond).setLoadAgeMs((int)
-                Math.max(0, nowMs - takenMs));
+        return report.setQueued(report.getQueued() + queued)
+                .setTokensPerSecond(tokensPerSecond)
+                .setLoadAgeMs((int) Math.max(0, nowMs - takenMs));
     }
 
     private void read(byte[] body, long askedMs) throws IOException {
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Orders.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Orders.java
@@ -1,8 +1,6 @@
 package org.kingcuproad.agent;
 
 import net.openhft.hashing.LongHashFunction;
-import org.jspecify.annotations.Nullable;
-import org.kingcuproad.policy.claim.BoundKey;
 import org.kingcuproad.policy.claim.Order;
 import org.kingcuproad.wire.proto.Dispatch;
 
@@ -14,33 +12,22 @@
     private Orders() {}
 
     static Order of(Dispatch dispatch) {
-        String key = key(dispatch);
+        String key = dispatch.getIdempotencyKey().isEmpty() ? null : dispatch.getIdempotencyKey();
         return new Order(
                 dispatch.getRequestId(),
                 dispatch.getAttempt(),
                 dispatch.getIncarnation(),
                 dispatch.getIdempotent(),
+                dispatch.getWorkspace(),
                 key,
                 key == null ? 0 : digest(dispatch));
     }
 
-    /**
-     * Returns the key under which an order is recorded. Two workspaces may choose the same key, so a key that is not
-     * bound is qualified by its workspace.
-     */
-    private static @Nullable String key(Dispatch dispatch) {
-        String key = dispatch.getIdempotencyKey();
-        if (key.isEmpty()) {
-            return null;
-        }
-        return BoundKey.looksBound(key) ? key : dispatch.getWorkspace() + "/" + key;
-    }
-
     private static long digest(Dispatch dispatch) {
         long[] parts = {
-            HASH.hashChars(dispatch.getWorkspace()),
             HASH.hashChars(dispatch.getMethod()),
             HASH.hashChars(dispatch.getPath()),
+            // A copy, because the library cannot read a buffer on this JDK without an opened module.
             HASH.hashBytes(dispatch.getBody().toByteArray())
         };
         return HASH.hashLongs(parts);
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Run.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Run.java
@@ -25,7 +25,6 @@
     private final AgentCore core;
     private final Order order;
     private final String traceparent;
-    private final boolean claimed;
     private final ResponseBuffer buffer;
     private final KeptAnswer kept;
     private final long startedMs;
@@ -36,6 +35,8 @@
     private @Nullable ExecuteStream stream;
     private long progressMs;
     private boolean paused;
+    private boolean granted;
+    private boolean started;
     private long receivedBytes;
     private boolean sent;
     private boolean headReceived;
@@ -44,19 +45,11 @@
     private boolean closed;
     private long closedMs;
 
-    Run(
-            AgentCore core,
-            Dispatch dispatch,
-            Order order,
-            BufferBudget budget,
-            boolean claimed,
-            long deadlineMs,
-            long nowMs) {
+    Run(AgentCore core, Dispatch dispatch, Order order, BufferBudget budget, long deadlineMs, long nowMs) {
         this.core = core;
         this.dispatch = dispatch;
         this.order = order;
         this.traceparent = dispatch.getTraceparent();
-        this.claimed = claimed;
         this.buffer = new ResponseBuffer(budget, nowMs);
         this.kept = new KeptAnswer(!order.idempotent());
         this.deadlineMs = deadlineMs;
@@ -68,9 +61,18 @@
         return traceparent;
     }
 
-    /** Tells whether the order runs only with a claim. */
-    boolean claimed() {
-        return claimed;
+    /** Notes that the claim of the order is in the store. */
+    void grant() {
+        granted = true;
+    }
+
+    boolean granted() {
+        return granted;
+    }
+
+    /** Tells whether the run took a place at the upstream. */
+    boolean started() {
+        return started;
     }
 
     /** Returns the bytes of the body that the upstream sent. */
@@ -133,6 +135,7 @@
         // The body is not needed again: a request is handed to the upstream at most once.
         dispatch = null;
         span = hop;
+        started = true;
         progressMs = core.nowMs();
         call = client.send(request, Tracing.traceparent(hop), this);
         if (ended) {
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/StoredAnswers.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/StoredAnswers.java
@@ -15,6 +15,10 @@
         return outcome.filter(Outcome::bodyKept).map(StoredAnswers::whole).orElseGet(StoredAnswers::alreadyRan);
     }
 
+    static List<ResponseFrame> frames(Outcome outcome) {
+        return frames(Optional.of(outcome));
+    }
+
     static List<ResponseFrame> alreadyRan() {
         return failure(ErrorKind.ALREADY_RAN, ErrorKind.ALREADY_RAN.meaning());
     }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UnavailableStore.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UnavailableStore.java
@@ -18,4 +18,12 @@
 
     @Override
     public void finished(Run run) {}
+
+    @Override
+    public void tick() {}
+
+    @Override
+    public boolean settled() {
+        return true;
+    }
 }
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFixture.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFixture.java
@@ -33,7 +33,7 @@
         agent = Agent.start(
                 AgentOptions.of("u-1", "http://127.0.0.1:" + port, INCARNATION)
                         .withTiming(timing)
-                        .withMaxConcurrent(4),
+                        .withCapacity(4, 2),
                 this::nowMs);
     }
 
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFlowTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFlowTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -10,6 +12,7 @@
 import org.kingcuproad.policy.stream.ResponseBuffer;
 import org.kingcuproad.wire.proto.AgentReport;
 import org.kingcuproad.wire.proto.AgentServiceGrpc;
+import org.kingcuproad.wire.proto.Failed;
 import org.kingcuproad.wire.proto.ReportRequest;
 
 /** Guards the flow of work through an agent: forwarding, back-pressure, admission and leaving. */
@@ -42,19 +45,36 @@
         }
     }
 
-    /** Guards against more work than the upstream may run. */
+    /** Guards against more work than the upstream may run, and against queued work that is lost or runs late. */
     @Test
-    void refusesBeyondLimit() throws Exception {
+    void queuesAndThenRefusesBeyondLimit() throws Exception {
         try (AgentFixture fixture =
                 AgentFixture.model(AgentFixture.engineSettings().withSpeed(60_000, 0))) {
+            List<ExecuteClient> running = new ArrayList<>();
             for (int index = 0; index < 4; index++) {
-                fixture.connect().send(AgentFixture.chat("r-" + index, 1));
+                running.add(fixture.connect().send(AgentFixture.chat("r-" + index, 1)));
             }
             AgentFixture.await("four run", () -> fixture.engine.running() == 4);
-            try (ExecuteClient fifth = fixture.connect().send(AgentFixture.chat("r-5", 1))) {
-                assertThat(new ResponseReader().readAll(fifth).refused().getKind())
+            ExecuteClient next = fixture.connect().send(AgentFixture.chat("next", 1));
+            AgentFixture.await("one waits", () -> fixture.agent.queuedRequests() == 1);
+            try (ExecuteClient late =
+                    fixture.connect().send(AgentFixture.chat("late", 1).setDeadlineMs(300))) {
+                Failed failed = new ResponseReader().readAll(late).failed();
+                assertThat(failed.getKind()).isEqualTo("deadline-exceeded-not-run");
+            }
+            ExecuteClient last = fixture.connect().send(AgentFixture.chat("last", 1));
+            AgentFixture.await("two wait", () -> fixture.agent.queuedRequests() == 2);
+            try (ExecuteClient refused = fixture.connect().send(AgentFixture.chat("refused", 1))) {
+                assertThat(new ResponseReader().readAll(refused).refused().getKind())
                         .isEqualTo("overloaded");
             }
+            running.getFirst().cancel();
+            AgentFixture.await("the next one runs", () -> fixture.engine.runs("next") == 1);
+            assertThat(fixture.engine.runs("late") + fixture.engine.runs("refused"))
+                    .isZero();
+            last.close();
+            next.close();
+            running.forEach(ExecuteClient::close);
         }
     }
 
