--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -64,6 +64,16 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new ExperimentPlacementCommand(), new ExperimentRoutingCommand());
+        return List.of(
+                new EmulateEngineCommand(),
+                new EmulatePlatformCommand(),
+                new EmulateServiceCommand(),
+                new ExperimentPlacementCommand(),
+                new ExperimentRoutingCommand(),
+                new ExplainCommand(),
+                new PromoteCommand(),
+                new StatusCommand(),
+                new TrialCommand(),
+                new ValidateCommand());
     }
 }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
@@ -4,22 +4,42 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.kingcuproad.config.settings.EntrySettings;
+import org.kingcuproad.entry.admin.AdminHandler;
+import org.kingcuproad.entry.admin.EntryView;
 import org.kingcuproad.entry.document.DocumentInForce;
+import org.kingcuproad.entry.document.DocumentWatch;
 import org.kingcuproad.entry.document.UpstreamDirectory;
+import org.kingcuproad.entry.document.VmListPoller;
 import org.kingcuproad.entry.link.AgentLinks;
+import org.kingcuproad.entry.link.ReportFanOut;
+import org.kingcuproad.entry.link.UpstreamStatus;
+import org.kingcuproad.entry.link.UpstreamStatuses;
 import org.kingcuproad.entry.request.CallerHandler;
 import org.kingcuproad.entry.request.RequestTasks;
 import org.kingcuproad.entry.request.RouterSelector;
+import org.kingcuproad.entry.request.Selection;
+import org.kingcuproad.entry.request.Target;
 import org.kingcuproad.model.HostPort;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.model.Upstream;
 import org.kingcuproad.model.VersionedDocument;
+import org.kingcuproad.platform.HttpObjectStore;
+import org.kingcuproad.platform.ObjectStore;
+import org.kingcuproad.platform.ObjectStoreSettings;
+import org.kingcuproad.platform.Vm;
+import org.kingcuproad.platform.VmRole;
+import org.kingcuproad.platform.environment.AdminRoutes;
+import org.kingcuproad.platform.environment.EnvironmentAdmin;
+import org.kingcuproad.platform.environment.StoredDocument;
 import org.kingcuproad.policy.routing.RouterSettings;
 import org.kingcuproad.policy.routing.UpstreamRouter;
 import org.kingcuproad.runtime.http.HttpServer;
@@ -29,16 +49,22 @@
 import org.kingcuproad.runtime.trace.Tracing;
 
 /** An entry process. One event loop owns all of its state. */
-public final class Entry {
+public final class Entry implements EntryView {
 
     private static final double TRACE_SAMPLE_RATIO = 1.0;
+    private static final int MAX_ADMIN_BODY_BYTES = 8 << 20;
+    private static final int MAX_ADMIN_HEADER_BYTES = 16 << 10;
+    private static final int VM_POLL_INTERVAL_MS = 1_000;
+    private static final int DEFAULT_DRAIN_LIMIT_SECONDS = 60;
 
     private final EntrySettings settings;
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = eventLoops.next();
     private final MetricRegistry metrics = new MetricRegistry();
+    private final UpstreamStatuses statuses = new UpstreamStatuses(System::nanoTime);
     private final RouterSelector selector;
     private final AgentLinks links;
+    private final RequestTasks tasks;
     private final UpstreamDirectory directory;
     private final HttpServer callers;
     private final HttpServer admin;
@@ -46,6 +72,8 @@
     private Map<String, HostPort> vmAddresses = Map.of();
     private volatile boolean draining;
     private volatile long revision;
+    private volatile int drainLimitSeconds = DEFAULT_DRAIN_LIMIT_SECONDS;
+    private final ObjectStore store;
 
     private Entry(EntrySettings settings) throws KingcuproadException {
         this.settings = settings;
@@ -55,17 +83,20 @@
                 settings.dataCentre(),
                 settings.name().hashCode());
         this.selector = new RouterSelector(router, System::nanoTime);
-        this.links = new AgentLinks(settings.name(), eventLoop, selector, System::nanoTime);
+        this.store = HttpObjectStore.open(ObjectStoreSettings.of(settings.platformUrl()), eventLoops);
+        this.links = new AgentLinks(settings.name(), eventLoop, new ReportFanOut(selector, statuses), System::nanoTime);
         Tracing tracing = Tracing.toLog(settings.name(), TRACE_SAMPLE_RATIO);
-        RequestTasks tasks =
-                new RequestTasks(eventLoop, links, selector, () -> true, tracing, metrics, System::nanoTime);
+        this.tasks = new RequestTasks(eventLoop, links, selector, tracing, metrics, System::nanoTime);
         CallerHandler handler = new CallerHandler(() -> document, tasks, tracing, System::nanoTime);
+        AdminRoutes documents = new AdminRoutes(new EnvironmentAdmin(store));
+        AdminHandler administration = new AdminHandler(this, documents, System::nanoTime);
         this.callers = HttpServer.start(
                 eventLoops, HttpServerSettings.of(settings.listenHost(), settings.callerPort()), handler);
         this.admin = HttpServer.start(
                 eventLoops,
-                HttpServerSettings.of(settings.listenHost(), settings.adminPort()),
-                OperationsHandler.standalone(metrics, this::unreadyReason));
+                HttpServerSettings.of(settings.listenHost(), settings.adminPort())
+                        .withLimits(MAX_ADMIN_BODY_BYTES, MAX_ADMIN_HEADER_BYTES),
+                new OperationsHandler(metrics, this::unreadyReason, administration));
     }
 
     /**
@@ -77,12 +108,35 @@
      */
     public static Entry start(EntrySettings settings) throws KingcuproadException {
         Entry entry = new Entry(settings);
+        entry.follow();
         StructuredLog.info(
                 "entry started",
                 Map.of("entry", settings.name(), "callerPort", entry.callerPort(), "adminPort", entry.adminPort()));
         return entry;
     }
 
+    private void follow() {
+        String key = StoredDocument.key(settings.environment(), settings.stage());
+        DocumentWatch watch = new DocumentWatch(store, key, eventLoop, this::applyDocument);
+        eventLoop.execute(() -> watch.setWanted(true));
+        new VmListPoller(store, settings.stage(), eventLoop, this::applyVms).start(VM_POLL_INTERVAL_MS);
+    }
+
+    private void applyVms(List<Vm> vms) {
+        applyAddresses(vms.stream()
+                .filter(vm -> vm.role() == VmRole.UPSTREAM)
+                .collect(Collectors.toMap(Vm::name, Vm::address, (first, second) -> second)));
+    }
+
+    /**
+     * Returns how long a graceful shutdown may wait, as the document in force says.
+     *
+     * @return the limit, in seconds
+     */
+    public int drainLimitSeconds() {
+        return drainLimitSeconds;
+    }
+
     /**
      * Returns the port for callers.
      *
@@ -113,7 +167,9 @@
             }
             document = Optional.of(DocumentInForce.of(versioned));
             revision = versioned.revision();
+            drainLimitSeconds = versioned.document().limits().drainLimitSeconds();
             StructuredLog.info("document in force", Map.of("entry", settings.name(), "revision", revision));
+            tasks.update(versioned.document());
             refreshUpstreams();
         });
     }
@@ -147,17 +203,49 @@
         callers.close();
         admin.close();
         eventLoop.execute(links::close);
+        store.close();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
     private void refreshUpstreams() {
         document.ifPresent(current -> {
             List<Upstream> connected = directory.connected(current.versioned().document(), vmAddresses);
+            statuses.retain(connected.stream().map(Upstream::name).toList());
             links.update(UpstreamDirectory.addresses(connected, vmAddresses));
             selector.update(current.versioned().document(), connected, System.nanoTime());
         });
     }
 
+    @Override
+    public EntrySettings settings() {
+        return settings;
+    }
+
+    @Override
+    public Optional<DocumentInForce> document() {
+        return document;
+    }
+
+    @Override
+    public Collection<UpstreamStatus> upstreams() {
+        return statuses.all();
+    }
+
+    @Override
+    public int requestsInProgress() {
+        return tasks.active();
+    }
+
+    @Override
+    public boolean draining() {
+        return draining;
+    }
+
+    @Override
+    public Selection explain(Target target, String workspace, String key) {
+        return selector.select(target, workspace, key, Set.of(), System.nanoTime());
+    }
+
     private Optional<String> unreadyReason() {
         if (draining) {
             return Optional.of("shutting down");
