--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
@@ -57,6 +57,10 @@
         return body.toString(StandardCharsets.UTF_8);
     }
 
+    boolean completed() {
+        return complete;
+    }
+
     int status() {
         return status;
     }
