Run both deployments as separate processes in one command

Change: scripts/demo.sh starts the platform stand-in, two entries, agents, engines and services for both example documents, tries and promotes the documents, sends requests over HTTP/1.1 and HTTP/2 and stops everything.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -81,19 +81,19 @@
 
 # Reads "name vm dataCentre" of the first upstreams of a kind from the document.
 upstreams() { # document kind count
-  bin/kingcuproadctl validate --canonical "$1" | python3 -c '
-import json, sys
-document = json.load(sys.stdin)
-chosen = [u for u in document["upstreams"] if u["kind"].lower() == sys.argv[1]][: int(sys.argv[2])]
-for u in chosen:
-    print(u["name"], u["vm"], u["dataCentre"])' "$2" "$3"
+  bin/kingcuproadctl validate --canonical "$1" | grep -o '{"checksFencing[^}]*}' | grep "\"kind\":\"$2\"" |
+    head -n "$3" |
+    sed -E 's/.*"dataCentre":"([^"]*)".*"name":"([^"]*)".*"vm":"([^"]*)".*/\2 \3 \1/'
+}
+
+data_centres() { # document
+  bin/kingcuproadctl validate --canonical "$1" | grep -o '"dataCentres":\[[^]]*\]' | grep -o '"[a-z0-9-]*"' | tr -d '"'
 }
 
 deploy() { # environment document first-port
   local environment=$1 document=$2 port=$3 name vm centre
   echo "== $environment: starting"
-  mapfile -t centres < <(bin/kingcuproadctl validate --canonical "$document" |
-    python3 -c 'import json,sys; print("\n".join(json.load(sys.stdin)["dataCentres"]))')
+  mapfile -t centres < <(data_centres "$document")
   start_entry "$environment" "$environment-entry-1" "${centres[0]}" "$port"
   start_entry "$environment" "$environment-entry-2" "${centres[1]}" $((port + 10))
   local agent_port=$((port + 100)) standin_port=$((port + 200))
@@ -106,11 +106,11 @@
     run "$environment-service-$standin_port" bin/kingcuproadctl emulate-service --port $standin_port
     start_agent "$environment" "$name" "$vm" "$centre" $agent_port $standin_port $((port + 2))
     agent_port=$((agent_port + 10)) standin_port=$((standin_port + 1))
-  done < <(upstreams "$document" service 2)
+  done < <(upstreams "$document" service 3)
   wait_for "http://$host:$((port + 1))/livez"
   local entry=http://$host:$((port + 1)) revision
-  revision=$(bin/kingcuproadctl trial --json --entry "$entry" "$document" |
-    python3 -c 'import json,sys; print(json.load(sys.stdin)["revision"])')
+  revision=$(bin/kingcuproadctl trial --json --entry "$entry" --base-revision 0 "$document" |
+    sed -E 's/.*"revision":([0-9]+).*/\1/')
   bin/kingcuproadctl promote --entry "$entry" --environment "$environment" \
     --trial-revision "$revision" --production-revision 0
   wait_for "http://$host:$((port + 1))/readyz"
@@ -146,7 +146,7 @@
   call $((port + 10)) "$credential" /v1/chat/completions --http2-prior-knowledge \
     -d "$(chat_body "$model" true "$question")" | tail -n 4
   key=demo-$RANDOM$RANDOM
-  wait_serving "$port" "$credential" /stock/probe
+  wait_serving "$port" "$credential" /stock/padded-envelope
   echo "-- an order, and the same order again through the other entry: it runs once"
   call "$port" "$credential" "$order_path" -H "Idempotency-Key: $key" -d "$order"
   echo
@@ -160,9 +160,9 @@
 run platform bin/kingcuproadctl emulate-platform --port "$base_port"
 wait_for "$platform/standin/counters"
 deploy merrimack examples/merrimack/environment.jsonc $((base_port + 1000))
-serve $((base_port + 1000)) demo-andover refill-drafter "Draft a refill summary" /orders '{"item":"padded-envelope"}'
+serve $((base_port + 1000)) example-lowell-city-clerk merrimack-draft "Draft a refill summary" /orders '{"item":"padded-envelope"}'
 deploy wierzbicki examples/wierzbicki/environment.jsonc $((base_port + 2000))
-serve $((base_port + 2000)) demo-lodz hem-drafter "How wide is the hem?" /orders '{"item":"voile"}'
+serve $((base_port + 2000)) example-sklep-krakow-centrum wierzbicki-hem "How wide is the hem?" /orders '{"item":"voile"}'
 echo "== status of one entry"
 bin/kingcuproadctl status --entry "http://$host:$((base_port + 1001))" --environment merrimack
 if [ "${KINGCUPROAD_DEMO_KEEP:-}" = 1 ]; then
