Read large documents with less memory and time

Cause: a region of the two-year size has 1.4 MB of canonical JSON, which the processes read with 24 MB of heap. Change: the text of a path is built only for a mistake, a canonical document needs no second tree, field names are shared, and group sizes are counted once.

--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/DocumentBinder.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/DocumentBinder.java
@@ -89,7 +89,7 @@
                 node.path("maxBodyBytes").intValue(),
                 node.path("maxHeaderBytes").intValue(),
                 node.path("maxQueuedPerWorkspace").intValue(),
-                node.path("retryBudgetRatio").doubleValue(),
+                number(node.path("retryBudgetRatio")),
                 node.path("drainNoticeSeconds").intValue(),
                 node.path("drainLimitSeconds").intValue(),
                 node.path("claimRetentionSeconds").intValue());
@@ -97,13 +97,18 @@
 
     private static PlacementSettings placement(JsonNode node) {
         return new PlacementSettings(
-                node.path("skewWeight").doubleValue(),
-                node.path("rebalanceWeight").doubleValue(),
+                number(node.path("skewWeight")),
+                number(node.path("rebalanceWeight")),
                 node.path("paybackHorizonSeconds").intValue(),
                 node.path("weightStoreBytesPerSecond").longValue(),
                 node.path("expertBytes").longValue());
     }
 
+    /** Adding 0.0 turns -0.0 into 0.0, so that both have one canonical form. */
+    private static double number(JsonNode node) {
+        return node.doubleValue() + 0.0;
+    }
+
     private static <T> List<T> list(JsonNode array, Function<JsonNode, T> element) {
         return StreamSupport.stream(array.spliterator(), false).map(element).toList();
     }
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/DocumentReferences.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/DocumentReferences.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
+import org.kingcuproad.config.json.JsonPath;
 import org.kingcuproad.config.json.Mistakes;
 
 /**
@@ -93,43 +95,51 @@
     }
 
     private void checkGroupSizes() {
+        Map<String, Long> servers = elements("upstreams")
+                .filter(upstream -> upstream.path("kind").asText().equals(MODEL_KIND))
+                .collect(
+                        Collectors.groupingBy(upstream -> upstream.path("group").asText(), Collectors.counting()));
         forEach("modelGroups", (group, path) -> {
-            long ranks = group.path("ranks").asLong();
-            long slots = ranks * group.path("slotsPerRank").asLong();
-            long experts = group.path("expertsPerLayer").asLong();
-            if (slots > 0 && experts > slots) {
-                String expected = "at most " + slots + " (ranks times slotsPerRank), so that each expert has a slot";
-                mistakes.add(Mistakes.member(path, "expertsPerLayer"), expected, String.valueOf(experts));
-            }
-            long servers = elements("upstreams")
-                    .filter(upstream -> upstream.path("kind").asText().equals(MODEL_KIND))
-                    .filter(upstream -> upstream.path("group").equals(group.path("name")))
-                    .count();
-            if (ranks > 0 && servers > ranks) {
-                String expected = "at least " + servers + ", one for each upstream of the group";
-                mistakes.add(Mistakes.member(path, "ranks"), expected, String.valueOf(ranks));
-            }
+            checkSlots(group, path);
+            checkRanks(group, path, servers.getOrDefault(group.path("name").asText(), 0L));
         });
     }
 
+    private void checkSlots(JsonNode group, JsonPath path) {
+        long slots = group.path("ranks").asLong() * group.path("slotsPerRank").asLong();
+        long experts = group.path("expertsPerLayer").asLong();
+        if (slots > 0 && experts > slots) {
+            String expected = "at most " + slots + " (ranks times slotsPerRank), so that each expert has a slot";
+            mistakes.add(path.member("expertsPerLayer"), expected, String.valueOf(experts));
+        }
+    }
+
+    private void checkRanks(JsonNode group, JsonPath path, long servers) {
+        long ranks = group.path("ranks").asLong();
+        if (ranks > 0 && servers > ranks) {
+            String expected = "at least " + servers + ", one for each upstream of the group";
+            mistakes.add(path.member("ranks"), expected, String.valueOf(ranks));
+        }
+    }
+
     private void checkRoutes() {
         Set<String> covered = new HashSet<>();
         forEach("services", (service, servicePath) -> {
-            String routes = Mistakes.member(servicePath, "routes");
+            JsonPath routes = servicePath.member("routes");
             forEach(service.path("routes"), routes, (route, path) -> checkRoute(route, path, covered));
         });
     }
 
-    private void checkRoute(JsonNode route, String path, Set<String> covered) {
+    private void checkRoute(JsonNode route, JsonPath path, Set<String> covered) {
         String prefix = route.path("pathPrefix").asText();
         if (RESERVED_PATHS.stream().anyMatch(prefix::startsWith)) {
             String reserved = RESERVED_PATHS.stream().sorted().collect(Collectors.joining(" and "));
             mistakes.add(
-                    Mistakes.member(path, "pathPrefix"),
+                    path.member("pathPrefix"),
                     "a path outside " + reserved,
                     Mistakes.describe(route.path("pathPrefix")));
         }
-        String methods = Mistakes.member(path, "methods");
+        JsonPath methods = path.member("methods");
         forEach(route.path("methods"), methods, (method, methodPath) -> {
             if (!prefix.isEmpty() && method.isTextual() && !covered.add(method.textValue() + " " + prefix)) {
                 mistakes.add(methodPath, "each method and path prefix once", Mistakes.describe(method) + " again");
@@ -142,16 +152,16 @@
         forEach(list, (element, path) -> {
             JsonNode value = member.isEmpty() ? element : element.path(member);
             if (value.isTextual() && !seen.add(value.textValue())) {
-                String valuePath = member.isEmpty() ? path : Mistakes.member(path, member);
+                JsonPath valuePath = member.isEmpty() ? path : path.member(member);
                 mistakes.add(valuePath, "a value that no other element of " + list + " has", "a repeated value");
             }
         });
     }
 
-    private void refersTo(JsonNode element, String member, String path, Set<String> names, String list) {
+    private void refersTo(JsonNode element, String member, JsonPath path, Set<String> names, String list) {
         JsonNode value = element.path(member);
         if (value.isTextual() && !names.contains(value.textValue())) {
-            mistakes.add(Mistakes.member(path, member), "a name from " + list, Mistakes.describe(value));
+            mistakes.add(path.member(member), "a name from " + list, Mistakes.describe(value));
         }
     }
 
@@ -167,13 +177,13 @@
         return StreamSupport.stream(document.path(list).spliterator(), false);
     }
 
-    private void forEach(String list, BiConsumer<JsonNode, String> action) {
-        forEach(document.path(list), Mistakes.member(Mistakes.ROOT, list), action);
+    private void forEach(String list, BiConsumer<JsonNode, JsonPath> action) {
+        forEach(document.path(list), JsonPath.ROOT.member(list), action);
     }
 
-    private static void forEach(JsonNode list, String listPath, BiConsumer<JsonNode, String> action) {
+    private static void forEach(JsonNode list, JsonPath listPath, BiConsumer<JsonNode, JsonPath> action) {
         for (int index = 0; list.isArray() && index < list.size(); index++) {
-            action.accept(list.get(index), Mistakes.element(listPath, index));
+            action.accept(list.get(index), listPath.element(index));
         }
     }
 }
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/EnvironmentDocumentReader.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/EnvironmentDocumentReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.kingcuproad.config.json.CommentedJson;
 import org.kingcuproad.config.json.DocumentInvalidException;
+import org.kingcuproad.config.json.JsonPath;
 import org.kingcuproad.config.json.Mistakes;
 import org.kingcuproad.model.EnvironmentDocument;
 
@@ -21,7 +22,7 @@
     public static EnvironmentDocument read(byte[] content) throws DocumentInvalidException {
         Mistakes mistakes = new Mistakes();
         JsonNode parsed = CommentedJson.parse(content, mistakes);
-        JsonNode checked = DocumentShape.DOCUMENT.check(parsed, Mistakes.ROOT, mistakes);
+        JsonNode checked = DocumentShape.DOCUMENT.check(parsed, JsonPath.ROOT, mistakes);
         DocumentReferences.check(parsed, mistakes);
         mistakes.throwIfAny();
         return CanonicalOrder.sort(DocumentBinder.bind(checked));
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/BooleanShape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/BooleanShape.java
@@ -7,7 +7,7 @@
 public record BooleanShape() implements Shape {
 
     @Override
-    public JsonNode check(JsonNode value, String path, Mistakes mistakes) {
+    public JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes) {
         if (!value.isBoolean()) {
             mistakes.add(path, "true or false", Mistakes.describe(value));
         }
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/CommentedJson.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/CommentedJson.java
@@ -23,7 +23,7 @@
 
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
     private static final JsonFactory FACTORY = JsonFactory.builder()
-            .disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES)
+            .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
             .streamReadConstraints(StreamReadConstraints.builder()
@@ -44,20 +44,20 @@
     public static JsonNode parse(byte[] content, Mistakes mistakes) throws DocumentInvalidException {
         try (JsonParser parser = FACTORY.createParser(decode(content))) {
             if (parser.nextToken() == null) {
-                mistakes.add(Mistakes.ROOT, "a JSON object", "an empty file");
+                mistakes.add(JsonPath.ROOT, "a JSON object", "an empty file");
             } else {
-                JsonNode root = value(parser, Mistakes.ROOT, mistakes);
+                JsonNode root = value(parser, JsonPath.ROOT, mistakes);
                 if (parser.nextToken() == null) {
                     return root;
                 }
-                mistakes.add(Mistakes.ROOT, "the end of the file", "more content" + location(parser));
+                mistakes.add(JsonPath.ROOT, "the end of the file", "more content" + location(parser));
             }
         } catch (CharacterCodingException failure) {
-            mistakes.add(Mistakes.ROOT, "text in UTF-8", "bytes that are not UTF-8");
+            mistakes.add(JsonPath.ROOT, "text in UTF-8", "bytes that are not UTF-8");
         } catch (JsonProcessingException failure) {
-            mistakes.add(Mistakes.ROOT, "JSON with comments", syntaxError(failure));
+            mistakes.add(JsonPath.ROOT, "JSON with comments", syntaxError(failure));
         } catch (IOException failure) {
-            mistakes.add(Mistakes.ROOT, "JSON with comments", String.valueOf(failure.getMessage()));
+            mistakes.add(JsonPath.ROOT, "JSON with comments", String.valueOf(failure.getMessage()));
         }
         mistakes.throwIfAny();
         throw new IllegalStateException("a mistake was added on every path to here");
@@ -70,7 +70,7 @@
                 .toString();
     }
 
-    private static JsonNode value(JsonParser parser, String path, Mistakes mistakes) throws IOException {
+    private static JsonNode value(JsonParser parser, JsonPath path, Mistakes mistakes) throws IOException {
         return switch (parser.currentToken()) {
             case START_OBJECT -> object(parser, path, mistakes);
             case START_ARRAY -> array(parser, path, mistakes);
@@ -90,14 +90,15 @@
         };
     }
 
-    private static JsonNode object(JsonParser parser, String path, Mistakes mistakes) throws IOException {
+    private static JsonNode object(JsonParser parser, JsonPath path, Mistakes mistakes) throws IOException {
         ObjectNode object = NODES.objectNode();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String key = parser.currentName();
             parser.nextToken();
-            JsonNode member = value(parser, Mistakes.member(path, key), mistakes);
+            JsonPath memberPath = path.member(key);
+            JsonNode member = value(parser, memberPath, mistakes);
             if (object.has(key)) {
-                mistakes.add(Mistakes.member(path, key), "each key once", "the key again" + location(parser));
+                mistakes.add(memberPath, "each key once", "the key again" + location(parser));
             } else {
                 object.set(key, member);
             }
@@ -105,10 +106,10 @@
         return object;
     }
 
-    private static JsonNode array(JsonParser parser, String path, Mistakes mistakes) throws IOException {
+    private static JsonNode array(JsonParser parser, JsonPath path, Mistakes mistakes) throws IOException {
         ArrayNode array = NODES.arrayNode();
         while (parser.nextToken() != JsonToken.END_ARRAY) {
-            array.add(value(parser, Mistakes.element(path, array.size()), mistakes));
+            array.add(value(parser, path.element(array.size()), mistakes));
         }
         return array;
     }
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/IntegerShape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/IntegerShape.java
@@ -12,7 +12,7 @@
 public record IntegerShape(long min, long max) implements Shape {
 
     @Override
-    public JsonNode check(JsonNode value, String path, Mistakes mistakes) {
+    public JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes) {
         boolean fits = value.isIntegralNumber()
                 && value.canConvertToLong()
                 && value.longValue() >= min
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/ListShape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/ListShape.java
@@ -14,17 +14,20 @@
 public record ListShape(Shape element, int minSize) implements Shape {
 
     @Override
-    public JsonNode check(JsonNode value, String path, Mistakes mistakes) {
+    public JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes) {
         if (!value.isArray() || value.size() < minSize) {
             String expected = minSize == 0 ? "a list" : "a list of at least " + minSize;
             mistakes.add(path, expected, Mistakes.describe(value));
             return value;
         }
         ArrayNode checked = JsonNodeFactory.instance.arrayNode();
+        boolean changed = false;
         for (int index = 0; index < value.size(); index++) {
-            checked.add(element.check(value.get(index), Mistakes.element(path, index), mistakes));
+            JsonNode checkedElement = element.check(value.get(index), path.element(index), mistakes);
+            checked.add(checkedElement);
+            changed |= checkedElement != value.get(index);
         }
-        return checked;
+        return changed ? checked : value;
     }
 
     @Override
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/Mistakes.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/Mistakes.java
@@ -3,16 +3,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Pattern;
 
 /** Collects the mistakes of one file. */
 public final class Mistakes {
 
-    /** Path of the whole file. */
-    public static final String ROOT = "$";
-
     private static final int MAX_FOUND_LENGTH = 80;
-    private static final Pattern PLAIN_KEY = Pattern.compile("[A-Za-z_][A-Za-z0-9_]*");
 
     private final List<Mistake> collected = new ArrayList<>();
 
@@ -26,8 +21,8 @@
      * @param expected what the value should be
      * @param found what the file has
      */
-    public void add(String path, String expected, String found) {
-        collected.add(new Mistake(path, expected, found));
+    public void add(JsonPath path, String expected, String found) {
+        collected.add(new Mistake(path.toString(), expected, found));
     }
 
     /**
@@ -50,31 +45,6 @@
         }
     }
 
-    /**
-     * Returns the path of a member.
-     *
-     * @param parent path of the object
-     * @param key name of the member
-     * @return the path
-     */
-    public static String member(String parent, String key) {
-        if (PLAIN_KEY.matcher(key).matches()) {
-            return parent + "." + key;
-        }
-        return parent + "['" + key.replace("\\", "\\\\").replace("'", "\\'") + "']";
-    }
-
-    /**
-     * Returns the path of a list element.
-     *
-     * @param parent path of the list
-     * @param index index of the element, from 0
-     * @return the path
-     */
-    public static String element(String parent, int index) {
-        return parent + "[" + index + "]";
-    }
-
     /**
      * Describes a value for a message.
      *
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/NumberShape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/NumberShape.java
@@ -1,7 +1,6 @@
 package org.kingcuproad.config.json;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
@@ -13,13 +12,12 @@
 public record NumberShape(double min, double max) implements Shape {
 
     @Override
-    public JsonNode check(JsonNode value, String path, Mistakes mistakes) {
+    public JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes) {
         double number = value.isNumber() ? value.doubleValue() : Double.NaN;
         if (!(number >= min && number <= max)) {
             mistakes.add(path, "a number from " + min + " to " + max, Mistakes.describe(value));
         }
-        // Adding 0.0 turns -0.0 into 0.0, so that both have one canonical form.
-        return JsonNodeFactory.instance.numberNode(number + 0.0);
+        return value;
     }
 
     @Override
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/ObjectShape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/ObjectShape.java
@@ -29,19 +29,23 @@
     }
 
     @Override
-    public JsonNode check(JsonNode value, String path, Mistakes mistakes) {
+    public JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes) {
         if (!value.isObject()) {
             mistakes.add(path, "an object", Mistakes.describe(value));
             return value;
         }
         value.fieldNames().forEachRemaining(key -> checkKnown(key, path, mistakes));
         ObjectNode checked = JsonNodeFactory.instance.objectNode();
+        boolean changed = false;
         for (Field field : fields) {
-            JsonNode member = value.has(field.name()) ? value.get(field.name()) : field.defaultValue();
-            String memberPath = Mistakes.member(path, field.name());
-            checked.set(field.name(), field.shape().check(member, memberPath, mistakes));
+            JsonNode given = value.path(field.name());
+            JsonNode member = given.isMissingNode() ? field.defaultValue() : given;
+            JsonNode checkedMember = field.shape().check(member, path.member(field.name()), mistakes);
+            checked.set(field.name(), checkedMember);
+            changed |= checkedMember != given;
         }
-        return checked;
+        // A document in canonical form needs no second tree, which would double the peak of memory.
+        return changed ? checked : value;
     }
 
     @Override
@@ -59,10 +63,20 @@
         return schema.put("additionalProperties", false);
     }
 
-    private void checkKnown(String key, String path, Mistakes mistakes) {
-        if (fields.stream().noneMatch(field -> field.name().equals(key))) {
+    private void checkKnown(String key, JsonPath path, Mistakes mistakes) {
+        if (!isKnown(key)) {
             String known = fields.stream().map(Field::name).collect(Collectors.joining(", "));
-            mistakes.add(Mistakes.member(path, key), "a known key (" + known + ")", "an unknown key");
+            mistakes.add(path.member(key), "a known key (" + known + ")", "an unknown key");
         }
     }
+
+    /** A loop instead of a stream, because it runs for every key of a large document. */
+    private boolean isKnown(String key) {
+        for (Field field : fields) {
+            if (field.name().equals(key)) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/Shape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/Shape.java
@@ -15,7 +15,7 @@
      * @param mistakes receives the mistakes of the value
      * @return the value with defaults filled in; meaningful only if no mistake was added
      */
-    JsonNode check(JsonNode value, String path, Mistakes mistakes);
+    JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes);
 
     /**
      * Returns the JSON schema of the value.
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/json/TextShape.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/json/TextShape.java
@@ -52,7 +52,7 @@
     }
 
     @Override
-    public JsonNode check(JsonNode value, String path, Mistakes mistakes) {
+    public JsonNode check(JsonNode value, JsonPath path, Mistakes mistakes) {
         if (!value.isTextual() || !allows(value.textValue())) {
             mistakes.add(path, expected, found(value));
         }
--- a/kingcuproad-config/src/main/java/org/kingcuproad/config/settings/SettingsReader.java
+++ b/kingcuproad-config/src/main/java/org/kingcuproad/config/settings/SettingsReader.java
@@ -14,6 +14,7 @@
 import org.kingcuproad.config.json.DocumentInvalidException;
 import org.kingcuproad.config.json.Field;
 import org.kingcuproad.config.json.IntegerShape;
+import org.kingcuproad.config.json.JsonPath;
 import org.kingcuproad.config.json.ListShape;
 import org.kingcuproad.config.json.Mistakes;
 import org.kingcuproad.config.json.ObjectShape;
@@ -120,7 +121,7 @@
             throws DocumentInvalidException {
         Mistakes mistakes = new Mistakes();
         JsonNode parsed = CommentedJson.parse(content, mistakes);
-        JsonNode checked = shape.check(parsed, Mistakes.ROOT, mistakes);
+        JsonNode checked = shape.check(parsed, JsonPath.ROOT, mistakes);
         checkPortsDiffer(parsed, ports, mistakes);
         mistakes.throwIfAny();
         return checked;
@@ -131,7 +132,7 @@
         for (String name : ports) {
             JsonNode port = parsed.path(name);
             if (port.isIntegralNumber() && port.longValue() != 0 && !used.add(port.longValue())) {
-                mistakes.add(Mistakes.member(Mistakes.ROOT, name), "a port of its own", port + " again");
+                mistakes.add(JsonPath.ROOT.member(name), "a port of its own", port + " again");
             }
         }
     }
--- a/kingcuproad-platform/src/main/java/org/kingcuproad/platform/environment/EnvironmentAdmin.java
+++ b/kingcuproad-platform/src/main/java/org/kingcuproad/platform/environment/EnvironmentAdmin.java
@@ -8,6 +8,7 @@
 import java.util.regex.Pattern;
 import org.kingcuproad.config.EnvironmentDocumentReader;
 import org.kingcuproad.config.json.DocumentInvalidException;
+import org.kingcuproad.config.json.JsonPath;
 import org.kingcuproad.config.json.Mistakes;
 import org.kingcuproad.model.EnvironmentDocument;
 import org.kingcuproad.model.ErrorKind;
@@ -221,7 +222,7 @@
             EnvironmentDocument document = EnvironmentDocumentReader.read(text);
             if (!document.environment().equals(environment)) {
                 Mistakes mistakes = new Mistakes();
-                mistakes.add(Mistakes.member(Mistakes.ROOT, "environment"), environment, document.environment());
+                mistakes.add(JsonPath.ROOT.member("environment"), environment, document.environment());
                 mistakes.throwIfAny();
             }
             return Optional.empty();
