--- a/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/engine/ChatRun.java
+++ b/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/engine/ChatRun.java
@@ -12,6 +12,7 @@
 final class ChatRun {
 
     private final EventLoop loop;
+    private final TokenPace pace;
     private final EngineSettings settings;
     private final HttpExchange exchange;
     private final ChatRequest request;
@@ -24,12 +25,14 @@
 
     ChatRun(
             EventLoop loop,
+            TokenPace pace,
             EngineSettings settings,
             HttpExchange exchange,
             ChatRequest request,
             Runnable onToken,
             Runnable onEnd) {
         this.loop = loop;
+        this.pace = pace;
         this.settings = settings;
         this.exchange = exchange;
         this.request = request;
@@ -48,7 +51,7 @@
         if (request.stream()) {
             exchange.start(200, List.of(Map.entry("Content-Type", "text/event-stream")));
         }
-        after(settings.firstTokenMs(), this::nextToken);
+        loop.schedule(this::nextToken, settings.firstTokenMs(), TimeUnit.MILLISECONDS);
     }
 
     private void nextToken() {
@@ -68,9 +71,9 @@
         int sequence = sent++;
         if (request.stream()) {
             byte[] event = ChatText.bytes(ChatText.event(request.requestId(), request.model(), sequence));
-            exchange.write(event, () -> after(settings.tokenMs(), this::nextToken));
+            exchange.write(event, () -> loop.execute(() -> pace.onNextToken(this::nextToken)));
         } else {
-            after(settings.tokenMs(), this::nextToken);
+            pace.onNextToken(this::nextToken);
         }
     }
 
@@ -98,12 +101,4 @@
             onEnd.run();
         }
     }
-
-    private void after(long delayMs, Runnable action) {
-        if (delayMs == 0) {
-            loop.execute(action);
-        } else {
-            loop.schedule(action, delayMs, TimeUnit.MILLISECONDS);
-        }
-    }
 }
--- a/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/engine/EngineStandIn.java
+++ b/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/engine/EngineStandIn.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.runtime.http.HttpExchange;
@@ -22,6 +23,8 @@
 
     private final EventLoop loop;
     private final EngineSettings settings;
+    private final TokenPace pace;
+    private final @Nullable MapRoutes maps;
     private final HttpServer server;
     private final ConcurrentHashMap<String, Integer> runs = new ConcurrentHashMap<>();
     private final ArrayDeque<ChatRun> waiting = new ArrayDeque<>();
@@ -29,9 +32,17 @@
     private volatile int running;
     private long tokens;
 
-    private EngineStandIn(EventLoopGroup eventLoops, EngineSettings settings) throws KingcuproadException {
-        this.loop = eventLoops.next();
+    private EngineStandIn(
+            EventLoopGroup eventLoops,
+            EventLoop loop,
+            EngineSettings settings,
+            TokenPace pace,
+            @Nullable MapRoutes maps)
+            throws KingcuproadException {
+        this.loop = loop;
         this.settings = settings;
+        this.pace = pace;
+        this.maps = maps;
         this.load = new LoadHistory(TimeUnit.MILLISECONDS.toNanos(settings.reportLagMs()));
         this.server =
                 HttpServer.start(eventLoops, HttpServerSettings.of(settings.host(), settings.port()), this::handle);
@@ -46,7 +57,29 @@
      * @throws KingcuproadException if the address can't be bound
      */
     public static EngineStandIn start(EventLoopGroup eventLoops, EngineSettings settings) throws KingcuproadException {
-        return new EngineStandIn(eventLoops, settings);
+        EventLoop loop = eventLoops.next();
+        return new EngineStandIn(eventLoops, loop, settings, timerPace(loop, settings.tokenMs()), null);
+    }
+
+    /**
+     * Starts an engine that is part of a group.
+     *
+     * @param eventLoops event loops for the connections
+     * @param loop event loop of the group
+     * @param settings how the engine listens and how it fails
+     * @param pace steps of the group
+     * @param maps map calls of the engine
+     * @return the running engine
+     * @throws KingcuproadException if the address can't be bound
+     */
+    static EngineStandIn startInGroup(
+            EventLoopGroup eventLoops, EventLoop loop, EngineSettings settings, TokenPace pace, MapRoutes maps)
+            throws KingcuproadException {
+        return new EngineStandIn(eventLoops, loop, settings, pace, maps);
+    }
+
+    private static TokenPace timerPace(EventLoop loop, long tokenMs) {
+        return tokenMs == 0 ? loop::execute : action -> loop.schedule(action, tokenMs, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -91,7 +124,15 @@
             case "/v1/chat/completions" -> accept(exchange);
             case "/control/load" -> respondLoad(exchange);
             case "/control/runs" -> respondRuns(exchange);
-            default -> Problems.respond(exchange, ErrorKind.NOT_FOUND, exchange.path(), "");
+            default -> routeMaps(exchange);
+        }
+    }
+
+    private void routeMaps(HttpExchange exchange) {
+        if (maps != null && exchange.path().startsWith("/control/maps")) {
+            maps.handle(exchange);
+        } else {
+            Problems.respond(exchange, ErrorKind.NOT_FOUND, exchange.path(), "");
         }
     }
 
@@ -105,7 +146,7 @@
     }
 
     private void enqueue(HttpExchange exchange, ChatRequest request) {
-        ChatRun run = new ChatRun(loop, settings, exchange, request, this::countToken, this::endRun);
+        ChatRun run = new ChatRun(loop, pace, settings, exchange, request, this::countToken, this::endRun);
         if (running < settings.maxConcurrent()) {
             begin(request, run);
         } else if (waiting.size() < settings.maxWaiting()) {
