Spread documents and VM lists over relays

Cause: every entry watched the store and polled the VM list, which at 1,400 entries and 7,700 agents would use several times the platform's two thousand reads a second. Change: kingcuproad-relay: two relays of each data centre watch and poll, others subscribe to both and read the store only after 3 s of silence; a fresh process asks the peers of its settings while the store is down. Conclusion: calls to the store now grow with data centres.

--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
@@ -1,9 +1,14 @@
 package org.kingcuproad.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -16,9 +21,7 @@
 import org.kingcuproad.entry.admin.AdminHandler;
 import org.kingcuproad.entry.admin.EntryView;
 import org.kingcuproad.entry.document.DocumentInForce;
-import org.kingcuproad.entry.document.DocumentWatch;
 import org.kingcuproad.entry.document.UpstreamDirectory;
-import org.kingcuproad.entry.document.VmListPoller;
 import org.kingcuproad.entry.link.AgentLinks;
 import org.kingcuproad.entry.link.ReportFanOut;
 import org.kingcuproad.entry.link.UpstreamStatus;
@@ -28,6 +31,7 @@
 import org.kingcuproad.entry.request.RouterSelector;
 import org.kingcuproad.entry.request.Selection;
 import org.kingcuproad.entry.request.Target;
+import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.HostPort;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.model.Upstream;
@@ -39,9 +43,12 @@
 import org.kingcuproad.platform.VmRole;
 import org.kingcuproad.platform.environment.AdminRoutes;
 import org.kingcuproad.platform.environment.EnvironmentAdmin;
-import org.kingcuproad.platform.environment.StoredDocument;
 import org.kingcuproad.policy.routing.RouterSettings;
 import org.kingcuproad.policy.routing.UpstreamRouter;
+import org.kingcuproad.relay.DocumentFollower;
+import org.kingcuproad.relay.FollowerListener;
+import org.kingcuproad.relay.FollowerOptions;
+import org.kingcuproad.relay.RelayServer;
 import org.kingcuproad.runtime.http.HttpServer;
 import org.kingcuproad.runtime.http.HttpServerSettings;
 import org.kingcuproad.runtime.http.OperationsHandler;
@@ -54,7 +61,6 @@
     private static final double TRACE_SAMPLE_RATIO = 1.0;
     private static final int MAX_ADMIN_BODY_BYTES = 8 << 20;
     private static final int MAX_ADMIN_HEADER_BYTES = 16 << 10;
-    private static final int VM_POLL_INTERVAL_MS = 1_000;
     private static final int DEFAULT_DRAIN_LIMIT_SECONDS = 60;
 
     private final EntrySettings settings;
@@ -74,6 +80,9 @@
     private volatile long revision;
     private volatile int drainLimitSeconds = DEFAULT_DRAIN_LIMIT_SECONDS;
     private final ObjectStore store;
+    private final RelayServer relayServer;
+    private final Server relay;
+    private final DocumentFollower follower;
 
     private Entry(EntrySettings settings) throws KingcuproadException {
         this.settings = settings;
@@ -84,6 +93,10 @@
                 settings.name().hashCode());
         this.selector = new RouterSelector(router, System::nanoTime);
         this.store = HttpObjectStore.open(ObjectStoreSettings.of(settings.platformUrl()), eventLoops);
+        this.relayServer =
+                new RelayServer(settings.environment(), settings.stage().label(), eventLoop);
+        this.relay = startRelay();
+        this.follower = follower();
         this.links = new AgentLinks(settings.name(), eventLoop, new ReportFanOut(selector, statuses), System::nanoTime);
         Tracing tracing = Tracing.toLog(settings.name(), TRACE_SAMPLE_RATIO);
         this.tasks = new RequestTasks(eventLoop, links, selector, tracing, metrics, System::nanoTime);
@@ -108,18 +121,51 @@
      */
     public static Entry start(EntrySettings settings) throws KingcuproadException {
         Entry entry = new Entry(settings);
-        entry.follow();
+        entry.follower.start();
         StructuredLog.info(
                 "entry started",
                 Map.of("entry", settings.name(), "callerPort", entry.callerPort(), "adminPort", entry.adminPort()));
         return entry;
     }
 
-    private void follow() {
-        String key = StoredDocument.key(settings.environment(), settings.stage());
-        DocumentWatch watch = new DocumentWatch(store, key, eventLoop, this::applyDocument);
-        eventLoop.execute(() -> watch.setWanted(true));
-        new VmListPoller(store, settings.stage(), eventLoop, this::applyVms).start(VM_POLL_INTERVAL_MS);
+    private DocumentFollower follower() {
+        FollowerOptions options = new FollowerOptions(
+                settings.name(),
+                settings.dataCentre(),
+                settings.environment(),
+                settings.stage(),
+                true,
+                settings.peers());
+        FollowerListener listener = new FollowerListener() {
+            @Override
+            public void onDocument(VersionedDocument versioned) {
+                applyDocument(versioned);
+            }
+
+            @Override
+            public void onVms(List<Vm> vms) {
+                relayServer.publish(vms);
+                applyVms(vms);
+            }
+        };
+        return new DocumentFollower(
+                options, store, eventLoop, listener, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
+    }
+
+    private Server startRelay() throws KingcuproadException {
+        InetSocketAddress address = new InetSocketAddress(settings.listenHost(), settings.relayPort());
+        try {
+            return NettyServerBuilder.forAddress(address)
+                    .bossEventLoopGroup(eventLoops)
+                    .workerEventLoopGroup(eventLoops)
+                    .channelType(NioServerSocketChannel.class)
+                    .executor(eventLoop)
+                    .addService(relayServer)
+                    .build()
+                    .start();
+        } catch (IOException failure) {
+            throw new KingcuproadException(ErrorKind.INTERNAL, "cannot listen on " + address, failure);
+        }
     }
 
     private void applyVms(List<Vm> vms) {
@@ -146,6 +192,15 @@
         return callers.port();
     }
 
+    /**
+     * Returns the port for subscribers of documents.
+     *
+     * @return the TCP port
+     */
+    public int relayPort() {
+        return relay.getPort();
+    }
+
     /**
      * Returns the port for health, metrics and administration.
      *
@@ -170,6 +225,7 @@
             drainLimitSeconds = versioned.document().limits().drainLimitSeconds();
             StructuredLog.info("document in force", Map.of("entry", settings.name(), "revision", revision));
             tasks.update(versioned.document());
+            relayServer.publish(versioned);
             refreshUpstreams();
         });
     }
@@ -202,7 +258,11 @@
     public void close() {
         callers.close();
         admin.close();
-        eventLoop.execute(links::close);
+        relay.shutdownNow();
+        eventLoop.execute(() -> {
+            follower.close();
+            links.close();
+        });
         store.close();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/document/DocumentWatch.java
+++ b/kingcuproad-relay/src/main/java/org/kingcuproad/relay/DocumentWatch.java
@@ -1,4 +1,4 @@
-package org.kingcuproad.entry.document;
+package org.kingcuproad.relay;
 
 import io.netty.channel.EventLoop;
 import java.util.Map;
