--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/ExecutionRecord.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/claim/ExecutionRecord.java
@@ -250,14 +250,15 @@
         return remembered.size() + requests.size() >= maxRemembered;
     }
 
+    /** An earlier dispatch with a bound key may have run in its incarnation, so its end is never "not run". */
     private Optional<DispatchDecision> checkIncarnation(Order order) {
-        if (order.incarnation() != incarnation && !(order.incarnation() == 0 && order.idempotent())) {
-            return refuse(ErrorKind.NO_UPSTREAM, "The dispatch names another incarnation.");
-        }
         Optional<BoundKey> bound = bound(order.key());
         if (bound.isPresent() && bound.get().incarnation() != incarnation) {
             return refuse(ErrorKind.OUTCOME_UNKNOWN, "The incarnation that the key is bound to is gone.");
         }
+        if (order.incarnation() != incarnation && !(order.incarnation() == 0 && order.idempotent())) {
+            return refuse(ErrorKind.NO_UPSTREAM, "The dispatch names another incarnation.");
+        }
         return Optional.empty();
     }
 
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/Fingerprint.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/Fingerprint.java
@@ -9,6 +9,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import net.openhft.hashing.LongTupleHashFunction;
@@ -36,7 +37,19 @@
             case CharSequence text -> out.append(text);
             case Boolean flag -> out.append(flag);
             case Enum<?> constant -> out.append(constant.name());
+            case Optional<?> optional -> write(out, optional.orElse(null));
             case BitSet bits -> out.append(bits);
+            case long[] numbers -> {
+                for (int i = 0; i < numbers.length; i++) {
+                    out.append(numbers[i] == 0 ? "" : i + "=" + numbers[i] + ",");
+                }
+            }
+            case int[] numbers ->
+                out.append(Arrays.stream(numbers)
+                        .filter(number -> number != 0)
+                        .boxed()
+                        .toList());
+            case byte[] bytes -> out.append(Arrays.hashCode(bytes));
             case Map<?, ?> map ->
                 unordered(
                         out,
