Carry out expert map switches in the agent

Cause: PrepareMap, QueryPromise and SettleMap were not served. Change: MapRank carries out RankSwitch for the engine beside the agent: commands one after the other and repeated until answered, questions to the other agents over gRPC, a look at the engine while a promise waits. GroupOptions gives the place in the group, Agent.movePeer a new address.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
@@ -16,6 +16,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.model.HostPort;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.platform.HttpObjectStore;
 import org.kingcuproad.platform.ObjectStore;
@@ -47,6 +48,8 @@
     private final @Nullable ObjectStore store;
     private final AgentCore core;
     private final @Nullable LoadPoll load;
+    private final @Nullable RankPeers peers;
+    private final @Nullable MapRank maps;
     private final Server server;
     private final HttpServer admin;
 
@@ -61,11 +64,20 @@
         this.core = new AgentCore(options, clockMs, client, this::claimGate, () -> idle.complete(null));
         this.load = options.reportsLoad() ? new LoadPoll(client, timing.reportIntervalMs(), clockMs.getAsLong()) : null;
         this.reports = new Reports(this::report, timing.reportIntervalMs());
+        this.peers = options.group().enabled()
+                ? new RankPeers(eventLoops, options.group().agents())
+                : null;
+        this.maps = peers == null
+                ? null
+                : new MapRank(options.group(), options.incarnation(), client, peers, loop, clockMs);
         this.server = listen();
         this.admin = HttpServer.start(
                 eventLoops,
                 HttpServerSettings.of(options.host(), options.adminPort()),
                 OperationsHandler.standalone(core.metrics().registry(), this::unreadyReason));
+        if (maps != null) {
+            loop.execute(maps::start);
+        }
         loop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         StructuredLog.info("agent started", fields());
     }
@@ -131,6 +143,9 @@
     public void close() {
         loop.execute(reports::close);
         server.shutdown();
+        if (peers != null) {
+            peers.close();
+        }
         admin.close();
         if (store != null) {
             store.close();
@@ -144,6 +159,28 @@
         StructuredLog.info("agent closed", fields());
     }
 
+    /**
+     * Uses another address for an agent of the model group, because its VM was replaced.
+     *
+     * @param rank number of the agent in the group
+     * @param address address of its gRPC service
+     */
+    public void movePeer(int rank, HostPort address) {
+        if (peers != null) {
+            loop.execute(() -> peers.move(rank, address));
+        }
+    }
+
+    /** Tells whether no map switch is pending and the engine runs, for tests. */
+    boolean mapsIdle() {
+        return onLoop(() -> maps != null && maps.idle());
+    }
+
+    /** Returns the hash of the incarnations of the group, for tests. */
+    long mapView() {
+        return onLoop(() -> maps == null ? 0L : maps.viewHash());
+    }
+
     /** Counts the open calls of {@code Execute}, for tests. */
     int openStreams() {
         return onLoop(core::openStreams);
@@ -178,6 +215,9 @@
         long nowMs = clockMs.getAsLong();
         core.tick();
         reports.tick(nowMs);
+        if (maps != null) {
+            maps.tick();
+        }
         if (load != null) {
             load.tick(nowMs);
         }
@@ -194,7 +234,7 @@
                     .keepAliveTimeout(KEEPALIVE_TIMEOUT_MS, TimeUnit.MILLISECONDS)
                     .permitKeepAliveTime(MIN_CLIENT_KEEPALIVE_MS, TimeUnit.MILLISECONDS)
                     .permitKeepAliveWithoutCalls(true)
-                    .addService(new AgentCalls(core, reports))
+                    .addService(new AgentCalls(core, reports, maps))
                     .build()
                     .start();
         } catch (IOException failure) {
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
@@ -13,6 +13,7 @@
  * @param maxConcurrent requests that may run at the same time; further ones wait
  * @param maxQueued requests that may wait for one of these places
  * @param claims where the claims of keyed orders are kept
+ * @param group place in the model group
  * @param traceSampleRatio ratio of the traces begun at this agent that are recorded, from 0 to 1
  * @param timing intervals and limits of time
  */
@@ -27,6 +28,7 @@
         int maxConcurrent,
         int maxQueued,
         ClaimOptions claims,
+        GroupOptions group,
         double traceSampleRatio,
         AgentTiming timing) {
 
@@ -54,6 +56,7 @@
                 DEFAULT_MAX_CONCURRENT,
                 DEFAULT_MAX_QUEUED,
                 ClaimOptions.none(),
+                GroupOptions.none(),
                 0,
                 AgentTiming.standard());
     }
@@ -78,6 +81,7 @@
                 maxConcurrent,
                 maxQueued,
                 claims,
+                group,
                 traceSampleRatio,
                 timing);
     }
@@ -100,6 +104,7 @@
                 maxConcurrent,
                 maxQueued,
                 claims,
+                group,
                 traceSampleRatio,
                 timing);
     }
@@ -123,6 +128,7 @@
                 newMaxConcurrent,
                 newMaxQueued,
                 claims,
+                group,
                 traceSampleRatio,
                 timing);
     }
@@ -145,6 +151,30 @@
                 maxConcurrent,
                 maxQueued,
                 newClaims,
+                group,
+                traceSampleRatio,
+                timing);
+    }
+
+    /**
+     * Replaces the place in the model group.
+     *
+     * @param newGroup place in the model group
+     * @return a copy with the place
+     */
+    public AgentOptions withGroup(GroupOptions newGroup) {
+        return new AgentOptions(
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                maxConcurrent,
+                maxQueued,
+                claims,
+                newGroup,
                 traceSampleRatio,
                 timing);
     }
@@ -167,6 +197,7 @@
                 maxConcurrent,
                 maxQueued,
                 claims,
+                group,
                 newTraceSampleRatio,
                 timing);
     }
@@ -189,6 +220,7 @@
                 maxConcurrent,
                 maxQueued,
                 claims,
+                group,
                 traceSampleRatio,
                 newTiming);
     }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/LoadPoll.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/LoadPoll.java
@@ -2,10 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.List;
-import java.util.Map;
 import org.kingcuproad.wire.proto.AgentReport;
 
 /** Asks the engine for its load, one request at a time. Lives on the event loop of the agent. */
@@ -33,7 +30,11 @@
         if (!waiting && nowMs >= dueMs) {
             dueMs = nowMs + intervalMs;
             waiting = true;
-            client.get("/control/load", new Answer(nowMs));
+            client.control(
+                    "GET",
+                    "/control/load",
+                    new byte[0],
+                    new WholeAnswer((status, body) -> receive(status, body, nowMs)));
         }
     }
 
@@ -43,54 +44,19 @@
                 .setLoadAgeMs((int) Math.max(0, nowMs - takenMs));
     }
 
-    private void read(byte[] body, long askedMs) throws IOException {
-        JsonNode load = MAPPER.readTree(body);
-        queued = load.path("waiting").asInt();
-        tokensPerSecond = load.path("tokensPerSecond").asDouble();
-        takenMs = askedMs - load.path("ageMs").asLong();
-    }
-
-    /** Collects one load report. */
-    private final class Answer implements UpstreamListener {
-
-        private final long askedMs;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-
-        Answer(long askedMs) {
-            this.askedMs = askedMs;
-        }
-
-        @Override
-        public void onSend() {}
-
-        @Override
-        public void onHead(int received, List<Map.Entry<String, String>> headers) {
-            status = received;
-        }
-
-        @Override
-        public void onBody(byte[] data) {
-            body.writeBytes(data);
+    private void receive(int status, byte[] body, long askedMs) {
+        waiting = false;
+        if (status != 200) {
+            return;
         }
-
-        @Override
-        public void onComplete() {
-            waiting = false;
-            if (status != 200) {
-                return;
-            }
-            try {
-                read(body.toByteArray(), askedMs);
-            } catch (IOException malformed) {
-                // The figures of the last readable report stay in force; their growing age shows the fault.
-                return;
-            }
-        }
-
-        @Override
-        public void onFailure(Throwable failure) {
-            waiting = false;
+        try {
+            JsonNode load = MAPPER.readTree(body);
+            queued = load.path("waiting").asInt();
+            tokensPerSecond = load.path("tokensPerSecond").asDouble();
+            takenMs = askedMs - load.path("ageMs").asLong();
+        } catch (IOException malformed) {
+            // The figures of the last readable report stay in force; their growing age shows the fault.
+            return;
         }
     }
 }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -19,6 +19,8 @@
     // The run enforces the deadline and the idle limit; the client takes zero as a timeout of zero.
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
 
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
+
     // Shorter than the idle limit of common servers, so that a request rarely meets a connection that is being closed.
     private static final Duration POOLED_IDLE = Duration.ofSeconds(4);
 
@@ -61,10 +63,13 @@
         return handler;
     }
 
-    void get(String path, UpstreamListener listener) {
-        RequestBuilder request = new RequestBuilder("GET", true)
-                .setUrl(baseUrl + path)
-                .setHeader(HttpHeaderNames.ACCEPT, "application/json");
+    /** Sends a control call to an engine; unlike a request of a caller it has a time limit of its own. */
+    void control(String method, String path, byte[] body, UpstreamListener listener) {
+        RequestBuilder request =
+                new RequestBuilder(method, true).setUrl(baseUrl + path).setRequestTimeout(CONTROL_TIMEOUT);
+        if (body.length > 0) {
+            request.setHeader(HttpHeaderNames.CONTENT_TYPE, "application/json").setBody(body);
+        }
         client.executeRequest(request.build(), new UpstreamHandler(listener));
     }
 
--- a/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/engine/MapRoutes.java
+++ b/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/engine/MapRoutes.java
@@ -10,7 +10,8 @@
 import org.kingcuproad.runtime.http.Problems;
 
 /**
- * The map calls of one engine. A step of zero in a hold or switch means the next step.
+ * The map calls of one engine. A step of zero in a hold or switch means the next step. A command without a fencing
+ * token comes from the agent beside the engine when it starts, and is not checked.
  *
  * <p>Status 409 carries {@code highestFence} for an old fencing token and {@code step} for a step that has begun.
  */
@@ -45,7 +46,7 @@
     }
 
     private void command(HttpExchange exchange, JsonNode body) {
-        if (!maps.admit(body.path("fence").asLong())) {
+        if (body.has("fence") && !maps.admit(body.path("fence").asLong())) {
             respond(exchange, 409, MAPPER.createObjectNode().put("highestFence", maps.highestFence()));
             return;
         }
@@ -90,7 +91,9 @@
             } else {
                 maps.schedule(version, step);
             }
-            maps.release();
+            if (!body.path("keepHold").asBoolean()) {
+                maps.release();
+            }
             respondState(exchange);
         }
     }
