--- a/kingcuproad-relay/src/test/java/org/kingcuproad/relay/RelayNode.java
+++ b/kingcuproad-relay/src/test/java/org/kingcuproad/relay/RelayNode.java
@@ -30,8 +30,7 @@
     private final Server server;
     private final DocumentFollower follower;
 
-    private RelayNode(
-            String name, boolean entry, String platformUrl, List<HostPort> peers, EventLoopGroup eventLoops)
+    private RelayNode(String name, boolean entry, String platformUrl, List<HostPort> peers, EventLoopGroup eventLoops)
             throws IOException {
         this.name = name;
         var eventLoop = eventLoops.next();
@@ -45,8 +44,7 @@
                 .addService(relayServer)
                 .build()
                 .start();
-        FollowerOptions options =
-                new FollowerOptions(name, "lowell", ENVIRONMENT, Stage.PRODUCTION, entry, peers);
+        FollowerOptions options = new FollowerOptions(name, "lowell", ENVIRONMENT, Stage.PRODUCTION, entry, peers);
         this.follower = new DocumentFollower(
                 options, store, eventLoop, this, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()));
         eventLoop.execute(follower::start);
