--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/ExperimentRoutingCommand.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/ExperimentRoutingCommand.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import org.kingcuproad.experiment.routing.DecisionCost;
 import org.kingcuproad.experiment.routing.ExperimentInput;
 import org.kingcuproad.experiment.routing.ExperimentPolicy;
 import org.kingcuproad.experiment.routing.RoutingExperiment;
@@ -38,6 +39,9 @@
     @Parameter(names = "--out", description = "Directory for the CSV file and the plots")
     private String directory = "experiment-routing";
 
+    @Parameter(names = "--cost", description = "Measure the cost of decisions instead")
+    private boolean cost;
+
     @Override
     public String name() {
         return "experiment-routing";
@@ -45,6 +49,10 @@
 
     @Override
     public ExitCode run(PrintStream out, PrintStream err) throws KingcuproadException {
+        if (cost) {
+            new DecisionCost(seed).run(out);
+            return ExitCode.SUCCESS;
+        }
         List<ExperimentInput> inputs = select(input, "input", ExperimentInput::ofLabel, ExperimentInput.values());
         List<ExperimentPolicy> policies =
                 select(policy, "policy", ExperimentPolicy::ofLabel, ExperimentPolicy.values());
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
@@ -12,8 +12,8 @@
     /** Entries join and leave over minutes, so their number may be averaged over many reports. */
     private static final double PEER_WINDOW_MS = 10_000;
 
-    /** Limits the correction while the entry has little load of its own and so knows little about the others. */
-    private static final double MAX_PEER_FACTOR = 16;
+    /** Load added to both sides of the ratio, which pulls it to 1 while the entry has little load of its own. */
+    private static final double PEER_PRIOR_LOAD = 1;
 
     private final String dataCentre;
     private final DecayingMean firstTokenMs;
@@ -143,8 +143,8 @@
 
     /** Returns the load of all entries as a multiple of this entry's, averaged over the group. */
     double peerFactor() {
-        double factor = reportedLoad.value() / Math.max(ownLoad.value(), 1 / MAX_PEER_FACTOR);
-        return Math.max(1, Math.min(MAX_PEER_FACTOR, factor));
+        double factor = (reportedLoad.value() + PEER_PRIOR_LOAD) / (ownLoad.value() + PEER_PRIOR_LOAD);
+        return Math.max(1, factor);
     }
 
     /**
