--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
@@ -52,6 +52,7 @@
     private final @Nullable MapRank maps;
     private final Server server;
     private final HttpServer admin;
+    private volatile long documentRevision;
 
     private Agent(AgentOptions options, LongSupplier clockMs) throws KingcuproadException {
         this.options = options;
@@ -105,6 +106,15 @@
         return new Agent(options, clockMs);
     }
 
+    /**
+     * Takes note of the document in force, whose revision the reports carry.
+     *
+     * @param revision revision of the document
+     */
+    public void documentInForce(long revision) {
+        documentRevision = revision;
+    }
+
     /**
      * Returns the port of the gRPC service.
      *
@@ -250,7 +260,8 @@
                 .setIncarnation(core.incarnation())
                 .setInFlight(core.running())
                 .setQueued(core.queued())
-                .setLeaving(core.leaving());
+                .setLeaving(core.leaving())
+                .setDocumentRevision(documentRevision);
         return load == null ? report : load.addTo(report, clockMs.getAsLong());
     }
 
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
@@ -34,6 +34,7 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.HostPort;
 import org.kingcuproad.model.KingcuproadException;
+import org.kingcuproad.model.Limits;
 import org.kingcuproad.model.Upstream;
 import org.kingcuproad.model.VersionedDocument;
 import org.kingcuproad.platform.HttpObjectStore;
@@ -78,6 +79,7 @@
     private Map<String, HostPort> vmAddresses = Map.of();
     private volatile boolean draining;
     private volatile long revision;
+    private volatile int drainNoticeSeconds;
     private volatile int drainLimitSeconds = DEFAULT_DRAIN_LIMIT_SECONDS;
     private final ObjectStore store;
     private final RelayServer relayServer;
@@ -175,7 +177,7 @@
     }
 
     /**
-     * Returns how long a graceful shutdown may wait, as the document in force says.
+     * Returns how long a graceful shutdown may take with its notice, as the document in force says.
      *
      * @return the limit, in seconds
      */
@@ -222,7 +224,9 @@
             }
             document = Optional.of(DocumentInForce.of(versioned));
             revision = versioned.revision();
-            drainLimitSeconds = versioned.document().limits().drainLimitSeconds();
+            Limits limits = versioned.document().limits();
+            drainNoticeSeconds = limits.drainNoticeSeconds();
+            drainLimitSeconds = limits.drainNoticeSeconds() + limits.drainLimitSeconds();
             StructuredLog.info("document in force", Map.of("entry", settings.name(), "revision", revision));
             tasks.update(versioned.document());
             relayServer.publish(versioned);
@@ -245,13 +249,17 @@
     }
 
     /**
-     * Begins a graceful shutdown: readiness fails, connections are no longer kept alive, requests are still answered.
+     * Begins a graceful shutdown: readiness fails at once, requests are served as before while the platform's balancer
+     * takes the entry out, then connections are no longer kept alive.
      *
      * @return completes when no request is in progress
      */
     public CompletableFuture<Void> drain() {
         draining = true;
-        return callers.drain();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        eventLoop.schedule(
+                () -> callers.drain().thenRun(() -> drained.complete(null)), drainNoticeSeconds, TimeUnit.SECONDS);
+        return drained;
     }
 
     /** Stops at once. Call {@link #drain()} first for a graceful shutdown. */
