--- a/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/platform/ControlRoutes.java
+++ b/kingcuproad-emulator/src/main/java/org/kingcuproad/emulator/platform/ControlRoutes.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import org.kingcuproad.model.ErrorKind;
@@ -70,11 +71,18 @@
 
     private static Faults faults(JsonNode body) {
         return new Faults(
-                Outage.valueOf(body.path("outage").asText("none").toUpperCase(Locale.ROOT)),
+                outage(body.path("outage").asText("none")),
                 body.path("slowMs").asLong(),
                 body.path("lostWriteResponses").asInt());
     }
 
+    private static Outage outage(String name) {
+        return Arrays.stream(Outage.values())
+                .filter(outage -> outage.name().toLowerCase(Locale.ROOT).equals(name))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("outage is none, refuse or silent"));
+    }
+
     private static VmRecord vm(List<String> path, JsonNode body) {
         return new VmRecord(
                 vmName(path),
--- a/kingcuproad-platform/src/main/java/org/kingcuproad/platform/environment/AdminRoutes.java
+++ b/kingcuproad-platform/src/main/java/org/kingcuproad/platform/environment/AdminRoutes.java
@@ -29,6 +29,9 @@
     /** Prefix of the paths that this class answers. */
     public static final String PREFIX = "/admin/v1/environments/";
 
+    /** Largest request body, in bytes. An HTTP server with a lower limit refuses documents of the two-year size. */
+    public static final int MAX_BODY_BYTES = StoredDocument.MAX_TEXT_BYTES;
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EnvironmentAdmin admin;
