Load a whole layer in one piece and smooth less

Cause: pieces of 10 s split the packing of one layer into five maps, and the maps in between were worse than both ends. Change: pieces of 60 s, load averaged over 200 s instead of 300 s, and 2 instead of 0.25 as the Authority's weight of rebalancing in the experiment.

--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/placement/Settings.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/placement/Settings.java
@@ -6,7 +6,7 @@
 /** Placement settings of the two organisations, scaled to the group. */
 final class Settings {
 
-    static final double AUTHORITY_REBALANCE_WEIGHT = 0.25;
+    static final double AUTHORITY_REBALANCE_WEIGHT = 2;
     static final double WIERZBICKI_REBALANCE_WEIGHT = 4;
 
     private static final long EXPERT_BYTES = 44_000_000;
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementTuning.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementTuning.java
@@ -22,7 +22,7 @@
         double minimumGain,
         double noiseMultiple) {
 
-    private static final PlacementTuning DEFAULTS = new PlacementTuning(0.1, 0.6, 10, 60, 300, 180, 0.01, 2);
+    private static final PlacementTuning DEFAULTS = new PlacementTuning(0.1, 0.6, 60, 60, 200, 180, 0.01, 2);
 
     /**
      * Returns the values used unless an experiment varies them.
