Probe past leaving upstreams when all others are ejected

Cause: if the ejected upstream that was to return next was leaving, the group was not probed at all; an excluded one used up the probe interval.

Change: leaving upstreams leave the order of returns, and an excluded one does not count as a probe. Groups without upstreams are forgotten.

Conclusion: an outage ends within a probe interval after the first recovery.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/AffinityRouter.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/AffinityRouter.java
@@ -49,6 +49,7 @@
                 states.keySet().stream().filter(name -> !names.contains(name)).toList();
         gone.forEach(this::remove);
         upstreams.forEach(upstream -> put(upstream, nowMs));
+        groups.values().removeIf(group -> !group.hasMembers());
     }
 
     private void remove(String name) {
@@ -85,6 +86,7 @@
         return one.group().equals(other.group()) && one.dataCentre().equals(other.dataCentre());
     }
 
+    /** Finds a slot. Prefixes of its last owner may remain in the table; they cost a cache miss at most. */
     private int freeSlot() {
         int free = slots.indexOf(null);
         if (free >= 0) {
@@ -154,9 +156,8 @@
     }
 
     private RoutingDecision probe(GroupState group, RequestFeatures request, long nowMs) {
-        UpstreamState state = group.probe(nowMs, settings.probeIntervalMs());
-        if (state == null
-                || request.excludedUpstreams().contains(state.upstream().name())) {
+        UpstreamState state = group.probe(request.excludedUpstreams(), nowMs, settings.probeIntervalMs());
+        if (state == null) {
             return new RoutingDecision.None(NoChoiceReason.NONE_AVAILABLE);
         }
         state.setProbing(true);
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/routing/GroupState.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Upstreams of one group: which are available, their total load, and which return from an ejection next. */
@@ -115,16 +116,23 @@
     }
 
     /**
-     * Picks the upstream to try while all are ejected.
+     * Picks the upstream to try while all are ejected. Leaving ones are dropped from the order on the way.
      *
+     * @param excluded upstreams that must not be chosen
      * @param nowMs current time, in milliseconds
      * @param intervalMs shortest time between two probes, in milliseconds
      * @return the one that is to return next, or null if there is none or the last probe is too recent
      */
     @Nullable
-    UpstreamState probe(long nowMs, long intervalMs) {
+    UpstreamState probe(Set<String> excluded, long nowMs, long intervalMs) {
         UpstreamState next = ejected.peek();
-        if (next == null || next.leaving() || nowMs < nextProbeMs) {
+        while (next != null && next.leaving()) {
+            returnNow(next, nowMs);
+            next = ejected.peek();
+        }
+        if (next == null
+                || nowMs < nextProbeMs
+                || excluded.contains(next.upstream().name())) {
             return null;
         }
         nextProbeMs = nowMs + intervalMs;
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/routing/UpstreamRouterTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/routing/UpstreamRouterTest.java
@@ -164,6 +164,23 @@
         assertThat(router.choose(all, 0)).isEqualTo(new RoutingDecision.None(NoChoiceReason.ALL_EXCLUDED));
     }
 
+    /**
+     * Guards against an outage that lasts as long as the longest back-off, and against a leaving one that is probed.
+     */
+    @Test
+    void groupWithoutAvailableUpstreamsIsProbed() {
+        UpstreamRouter router = router(3, 1);
+        for (int index = 0; index < 3; index++) {
+            router.onFailure("u" + index, index);
+        }
+        router.onReport("u0", report(1, 1, 0, true), 10);
+        assertThat(router.choose(PLAIN, 10)).isInstanceOfSatisfying(RoutingDecision.Chosen.class, chosen -> {
+            assertThat(chosen.reason()).isEqualTo(ChoiceReason.PROBE);
+            assertThat(chosen.upstream()).isNotEqualTo("u0");
+        });
+        assertThat(router.choose(PLAIN, 11)).isEqualTo(new RoutingDecision.None(NoChoiceReason.NONE_AVAILABLE));
+    }
+
     private static UpstreamRouter router(int upstreams, long seed) {
         UpstreamRouter router = UpstreamRouter.create(SETTINGS, "lowell", seed);
         router.update(
