Promise a map only after the last switch took place

Cause: an engine keeps one scheduled switch. A second switch that was promised and committed before the first one's step replaced the first in those engines that had not begun the step.

Change: a rank refuses a switch until its engine has begun the step of the last committed one, which the agent reports with engineStep.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/RankSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/RankSwitch.java
@@ -50,6 +50,7 @@
     private @Nullable SwitchId committed;
     private long baseMap;
     private long closedStep;
+    private long begunStep;
     private long highestFence;
     private long round;
     private long askAtMs;
@@ -185,6 +186,16 @@
         return take();
     }
 
+    /**
+     * Notes how far the engine is. A switch is promised only after the one before it took place, because an engine
+     * keeps one scheduled switch.
+     *
+     * @param step last step that the engine began
+     */
+    public void engineStep(long step) {
+        begunStep = Math.max(begunStep, step);
+    }
+
     /**
      * Takes the coordinator's word.
      *
@@ -316,6 +327,9 @@
         if (phase != Phase.IDLE) {
             return Optional.of("the rank is joining");
         }
+        if (committed != null && begunStep < committed.step()) {
+            return Optional.of("the last switch has not taken place");
+        }
         boolean past = request.id().step() <= closedStep
                 || (committed != null
                         && (request.id().step() <= committed.step()
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/mapswitch/GroupWorld.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/mapswitch/GroupWorld.java
@@ -180,6 +180,7 @@
 
     void begin(int rank) {
         engines[rank].begin(done + 1);
+        agents[rank].engineStep(done + 1);
         if (IntStream.range(0, ranks).allMatch(i -> engines[i].begun == done + 1)) {
             done++;
             long maps = IntStream.range(0, ranks)
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/mapswitch/RankSwitchScheduleTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/mapswitch/RankSwitchScheduleTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -77,6 +78,30 @@
         assertThat(committed).isBetween(SCHEDULES / 20, SCHEDULES);
     }
 
+    /** An engine keeps one scheduled switch, so a second one must not be promised before the first took place. */
+    @Test
+    void aSecondSwitchWaitsUntilTheFirstTookPlace() {
+        SwitchId second = new SwitchId(3, 3);
+        GroupWorld world = new GroupWorld(2, List.of(new SwitchId(2, 2), second), 0, 2, GroupWorld.Weakness.NONE);
+        deliverAll(
+                world,
+                mail -> mail.content() instanceof PrepareMap prepare
+                        && prepare.id().equals(second));
+        world.begin(0);
+        world.begin(1);
+        world.begin(0);
+        deliverAll(world, mail -> false);
+        boolean ended = world.ends(50);
+        assertThat(world.wrong).isNull();
+        assertThat(ended).isTrue();
+    }
+
+    private static void deliverAll(GroupWorld world, Predicate<GroupWorld.Mail> except) {
+        for (int i = 0; i < 20; i++) {
+            List.copyOf(world.mail).stream().filter(except.negate()).forEach(world::deliver);
+        }
+    }
+
     @ParameterizedTest
     @EnumSource(value = GroupWorld.Weakness.class, mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void schedulesFindWhatEachMechanismPrevents(GroupWorld.Weakness weakness) {
