Change the incarnation when the execution record is full

Cause: a record remembers 250,000 requests and then refuses all work; at 7 requests a second an agent would have stopped serving after 10 hours. Change: Records replaces a full record by an empty one under a new incarnation, reports it at once and keeps the old one for its own requests; a further attempt of a request cancels the run before it. Figures: changesIncarnationWhenRecordIsFull passes with a record of 12; without the change its thirteenth order is refused as overloaded. AgentFlowTest, AgentFaultTest and AgentClaimTest pass. Conclusion: the bound on remembered requests no longer bounds the life of an agent.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
@@ -214,6 +214,9 @@
     private void tick() {
         long nowMs = clockMs.getAsLong();
         core.tick();
+        if (core.renewIncarnation()) {
+            reports.publishNow(nowMs);
+        }
         reports.tick(nowMs);
         if (maps != null) {
             maps.tick();
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentCore.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentCore.java
@@ -20,6 +20,7 @@
 import org.kingcuproad.policy.stream.BufferBudget;
 import org.kingcuproad.policy.stream.ResponseBuffer;
 import org.kingcuproad.policy.stream.ResponseFrame;
+import org.kingcuproad.runtime.log.StructuredLog;
 import org.kingcuproad.runtime.trace.Tracing;
 import org.kingcuproad.wire.proto.Dispatch;
 import org.kingcuproad.wire.proto.FenceRequest;
@@ -36,7 +37,7 @@
     private final UpstreamClient client;
     private final Tracing tracing;
     private final AgentMetrics metrics = new AgentMetrics();
-    private final ExecutionRecord record;
+    private final Records records;
     private final ClaimGate gate;
     private final BufferBudget budget = new BufferBudget(BufferBudget.DEFAULT_LIMIT_BYTES);
     private final Map<String, Run> runs = new HashMap<>();
@@ -58,7 +59,7 @@
         this.clockMs = clockMs;
         this.client = client;
         this.tracing = Tracing.toLog("agent", options.traceSampleRatio());
-        this.record = new ExecutionRecord(options.incarnation());
+        this.records = new Records(options.incarnation(), options.maxRemembered());
         this.onIdle = onIdle;
         this.gate = gate.apply(this);
         metrics.gauge("runs.running", () -> running);
@@ -80,7 +81,7 @@
     }
 
     long incarnation() {
-        return record.incarnation();
+        return records.current().incarnation();
     }
 
     int running() {
@@ -129,9 +130,10 @@
             return;
         }
         Order order = Orders.of(dispatch);
+        ExecutionRecord record = records.named(order.incarnation());
         switch (record.dispatch(order, nowMs())) {
-            case DispatchDecision.Run ignored -> admit(dispatch, order, stream, false);
-            case DispatchDecision.Claim ignored -> admit(dispatch, order, stream, true);
+            case DispatchDecision.Run ignored -> admit(dispatch, order, record, stream, false);
+            case DispatchDecision.Claim ignored -> admit(dispatch, order, record, stream, true);
             case DispatchDecision.JoinRunning join -> joinRunning(order, join.requestId(), stream);
             case DispatchDecision.JoinFinished join -> joinFinished(order, join, stream);
             case DispatchDecision.Refuse refuse -> stream.refuse(refuse.kind(), refuse.detail());
@@ -147,8 +149,9 @@
     void resume(Resume resume, ExecuteStream stream) {
         metrics.resumed();
         String requestId = resume.getRequestId();
+        ExecutionRecord record = records.named(resume.getIncarnation());
         DispatchDecision decision = record.resume(requestId, resume.getAttempt(), resume.getIncarnation(), nowMs());
-        Run run = runs.get(requestId);
+        Run run = ownRun(requestId, record);
         if (decision instanceof DispatchDecision.Refuse refuse) {
             stream.refuse(refuse.kind(), refuse.detail());
         } else if (run == null || !run.attach(stream, resume.getOffset(), resume.getHasHead())) {
@@ -163,9 +166,10 @@
      * @return what is certain about it
      */
     FenceDecision fence(FenceRequest fence) {
+        ExecutionRecord record = records.named(fence.getIncarnation());
         FenceDecision decision =
                 record.fence(fence.getRequestId(), fence.getAttempt(), fence.getIncarnation(), nowMs());
-        Run run = runs.get(fence.getRequestId());
+        Run run = ownRun(fence.getRequestId(), record);
         if (decision == FenceDecision.FENCED_NOT_RUN && run != null && !run.ended()) {
             run.fail(ErrorKind.NO_UPSTREAM, "the attempt was fenced before it was claimed");
         }
@@ -179,7 +183,7 @@
      * @return {@code false} if it does not run
      */
     boolean claimGranted(Run run) {
-        if (run.ended() || !record.beginClaimed(run.order().requestId(), nowMs())) {
+        if (run.ended() || !run.record().beginClaimed(run.order().requestId(), nowMs())) {
             return false;
         }
         run.grant();
@@ -195,7 +199,7 @@
      */
     void claimAnswered(Run run, List<ResponseFrame> frames) {
         if (!run.ended()) {
-            record.abandonClaim(run.order().requestId(), nowMs());
+            run.record().abandonClaim(run.order().requestId(), nowMs());
             active--;
             run.replay(frames);
         }
@@ -226,10 +230,10 @@
         }
         String requestId = run.order().requestId();
         if (run.sent()) {
-            record.finish(requestId, run.kept().outcome(), nowMs());
+            run.record().finish(requestId, run.kept().outcome(), nowMs());
         } else {
-            record.neverRan(requestId, nowMs());
-            record.abandonClaim(requestId, nowMs());
+            run.record().neverRan(requestId, nowMs());
+            run.record().abandonClaim(requestId, nowMs());
         }
         if (run.granted()) {
             gate.finished(run);
@@ -258,7 +262,7 @@
     /** Refuses new work from now on. */
     void leave() {
         leaving = true;
-        record.startDraining();
+        records.startDraining();
         tellIdle();
     }
 
@@ -272,11 +276,26 @@
         tellIdle();
     }
 
+    /** Replaces a full execution record; tells whether the incarnation changed, so that entries are to be told. */
+    boolean renewIncarnation() {
+        boolean renewed = records.renew(nowMs());
+        if (renewed) {
+            StructuredLog.info(
+                    "execution record is full, the incarnation changes", Map.of("incarnation", incarnation()));
+        }
+        return renewed;
+    }
+
+    private @Nullable Run ownRun(String requestId, ExecutionRecord record) {
+        Run run = runs.get(requestId);
+        return run != null && run.record() == record ? run : null;
+    }
+
     private boolean full() {
         return active >= options.maxConcurrent() + options.maxQueued();
     }
 
-    private void admit(Dispatch dispatch, Order order, ExecuteStream stream, boolean claim) {
+    private void admit(Dispatch dispatch, Order order, ExecutionRecord record, ExecuteStream stream, boolean claim) {
         if (full()) {
             // The record then counts the attempt as fenced, so that the refusal stays true for a late copy.
             record.neverRan(order.requestId(), nowMs());
@@ -285,10 +304,14 @@
             return;
         }
         long limitMs = dispatch.getDeadlineMs() == 0 ? timing().runLimitMs() : dispatch.getDeadlineMs();
-        Run run = new Run(this, dispatch, order, budget, nowMs() + limitMs, nowMs());
+        Run run = new Run(this, record, dispatch, order, budget, nowMs() + limitMs, nowMs());
         active++;
         metrics.accepted();
-        runs.put(order.requestId(), run);
+        Run before = runs.put(order.requestId(), run);
+        if (before != null) {
+            // Only a further attempt gets here; the entry no longer reads the attempt before it.
+            before.cancel("a further attempt replaces it");
+        }
         run.attach(stream, 0, false);
         if (claim) {
             gate.claim(run);
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/AgentOptions.java
@@ -1,5 +1,7 @@
 package org.kingcuproad.agent;
 
+import org.kingcuproad.policy.claim.ExecutionRecord;
+
 /**
  * What an agent is told at its start.
  *
@@ -12,6 +14,7 @@
  * @param incarnation random number that distinguishes this start of the agent from all others
  * @param maxConcurrent requests that may run at the same time; further ones wait
  * @param maxQueued requests that may wait for one of these places
+ * @param maxRemembered requests that one incarnation remembers; then the incarnation changes
  * @param claims where the claims of keyed orders are kept
  * @param group place in the model group
  * @param traceSampleRatio ratio of the traces begun at this agent that are recorded, from 0 to 1
@@ -27,6 +30,7 @@
         long incarnation,
         int maxConcurrent,
         int maxQueued,
+        int maxRemembered,
         ClaimOptions claims,
         GroupOptions group,
         double traceSampleRatio,
@@ -55,6 +59,7 @@
                 incarnation,
                 DEFAULT_MAX_CONCURRENT,
                 DEFAULT_MAX_QUEUED,
+                ExecutionRecord.MAX_REMEMBERED,
                 ClaimOptions.none(),
                 GroupOptions.none(),
                 0,
@@ -80,6 +85,7 @@
                 incarnation,
                 maxConcurrent,
                 maxQueued,
+                maxRemembered,
                 claims,
                 group,
                 traceSampleRatio,
@@ -103,6 +109,7 @@
                 incarnation,
                 maxConcurrent,
                 maxQueued,
+                maxRemembered,
                 claims,
                 group,
                 traceSampleRatio,
@@ -127,6 +134,31 @@
                 incarnation,
                 newMaxConcurrent,
                 newMaxQueued,
+                maxRemembered,
+                claims,
+                group,
+                traceSampleRatio,
+                timing);
+    }
+
+    /**
+     * Replaces the number of remembered requests.
+     *
+     * @param newMaxRemembered requests that one incarnation remembers
+     * @return a copy with the number
+     */
+    public AgentOptions withMaxRemembered(int newMaxRemembered) {
+        return new AgentOptions(
+                upstream,
+                upstreamUrl,
+                reportsLoad,
+                host,
+                port,
+                adminPort,
+                incarnation,
+                maxConcurrent,
+                maxQueued,
+                newMaxRemembered,
                 claims,
                 group,
                 traceSampleRatio,
@@ -150,6 +182,7 @@
                 incarnation,
                 maxConcurrent,
                 maxQueued,
+                maxRemembered,
                 newClaims,
                 group,
                 traceSampleRatio,
@@ -173,6 +206,7 @@
                 incarnation,
                 maxConcurrent,
                 maxQueued,
+                maxRemembered,
                 claims,
                 newGroup,
                 traceSampleRatio,
@@ -196,6 +230,7 @@
                 incarnation,
                 maxConcurrent,
                 maxQueued,
+                maxRemembered,
                 claims,
                 group,
                 newTraceSampleRatio,
@@ -219,6 +254,7 @@
                 incarnation,
                 maxConcurrent,
                 maxQueued,
+                maxRemembered,
                 claims,
                 group,
                 traceSampleRatio,
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Run.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Run.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.claim.ExecutionRecord;
 import org.kingcuproad.policy.claim.Order;
 import org.kingcuproad.policy.stream.BufferBudget;
 import org.kingcuproad.policy.stream.Bytes;
@@ -23,6 +24,7 @@
 final class Run implements UpstreamListener {
 
     private final AgentCore core;
+    private final ExecutionRecord record;
     private final Order order;
     private final String traceparent;
     private final ResponseBuffer buffer;
@@ -45,8 +47,16 @@
     private boolean closed;
     private long closedMs;
 
-    Run(AgentCore core, Dispatch dispatch, Order order, BufferBudget budget, long deadlineMs, long nowMs) {
+    Run(
+            AgentCore core,
+            ExecutionRecord record,
+            Dispatch dispatch,
+            Order order,
+            BufferBudget budget,
+            long deadlineMs,
+            long nowMs) {
         this.core = core;
+        this.record = record;
         this.dispatch = dispatch;
         this.order = order;
         this.traceparent = dispatch.getTraceparent();
@@ -80,6 +90,10 @@
         return receivedBytes;
     }
 
+    ExecutionRecord record() {
+        return record;
+    }
+
     Order order() {
         return order;
     }
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFixture.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFixture.java
@@ -15,6 +15,7 @@
 final class AgentFixture implements AutoCloseable {
 
     static final long INCARNATION = 7;
+    static final int MAX_REMEMBERED = 12;
 
     private static final int TIMEOUT_SECONDS = 20;
 
@@ -33,7 +34,8 @@
         agent = Agent.start(
                 AgentOptions.of("u-1", "http://127.0.0.1:" + port, INCARNATION)
                         .withTiming(timing)
-                        .withCapacity(4, 2),
+                        .withCapacity(4, 2)
+                        .withMaxRemembered(MAX_REMEMBERED),
                 this::nowMs);
     }
 
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFlowTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFlowTest.java
@@ -78,6 +78,32 @@
         }
     }
 
+    /** Guards against an agent that refuses all work for good once its execution record is full. */
+    @Test
+    void changesIncarnationWhenRecordIsFull() throws Exception {
+        try (AgentFixture fixture = AgentFixture.service(AgentFixture.serviceSettings());
+                ExecuteClient subscriber = fixture.connect()) {
+            Iterator<AgentReport> reports = AgentServiceGrpc.newBlockingStub(subscriber.channel())
+                    .report(ReportRequest.newBuilder().setIntervalMs(600_000).build());
+            assertThat(reports.next().getIncarnation()).isEqualTo(AgentFixture.INCARNATION);
+            for (int index = 0; index < AgentFixture.MAX_REMEMBERED; index++) {
+                try (ExecuteClient client = fixture.connect().send(AgentFixture.order("o-" + index))) {
+                    assertThat(new ResponseReader().readAll(client).status()).isEqualTo(201);
+                }
+            }
+            long next = reports.next().getIncarnation();
+            assertThat(next).isNotEqualTo(AgentFixture.INCARNATION);
+            try (ExecuteClient old = fixture.connect().send(AgentFixture.order("o-0"))) {
+                assertThat(new ResponseReader().readAll(old).text()).contains("\"run\":1");
+            }
+            try (ExecuteClient client =
+                    fixture.connect().send(AgentFixture.order("new").setIncarnation(next))) {
+                assertThat(new ResponseReader().readAll(client).status()).isEqualTo(201);
+            }
+            assertThat(fixture.service.orders()).isEqualTo(AgentFixture.MAX_REMEMBERED + 1);
+        }
+    }
+
     /** Guards against new work for a leaving agent, late notice to entries and interrupted responses. */
     @Test
     void drainsGracefully() throws Exception {
