--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/Agent.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
@@ -52,6 +53,7 @@
     private final @Nullable MapRank maps;
     private final Server server;
     private final HttpServer admin;
+    private final AtomicBoolean closed = new AtomicBoolean();
     private volatile long documentRevision;
 
     private Agent(AgentOptions options, LongSupplier clockMs) throws KingcuproadException {
@@ -151,6 +153,9 @@
 
     /** Closes the agent at once. */
     public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
         loop.execute(reports::close);
         server.shutdown();
         if (peers != null) {
--- a/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/Caller.java
+++ b/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/Caller.java
@@ -30,8 +30,8 @@
     }
 
     CompletableFuture<HttpResponse<String>> order(String key) {
-        HttpRequest.Builder request = request("/orders")
-                .POST(HttpRequest.BodyPublishers.ofString("{\"item\":\"padded-envelope\"}"));
+        HttpRequest.Builder request =
+                request("/orders").POST(HttpRequest.BodyPublishers.ofString("{\"item\":\"padded-envelope\"}"));
         return send(key.isEmpty() ? request : request.header("Idempotency-Key", key));
     }
 
@@ -50,8 +50,7 @@
     }
 
     /** Waits until the entry serves a kind of request. */
-    void awaitServing(Supplier<CompletableFuture<HttpResponse<String>>> probe)
-            throws InterruptedException {
+    void awaitServing(Supplier<CompletableFuture<HttpResponse<String>>> probe) throws InterruptedException {
         for (int i = 0; i < READY_ATTEMPTS; i++) {
             if (probe.get().join().statusCode() == 200) {
                 return;
--- a/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/FaultTest.java
+++ b/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/FaultTest.java
@@ -75,9 +75,11 @@
     @Test
     void orderRetriedThroughAnotherEntryRunsOnceAndGetsTheSameResponse() throws Exception {
         startServices();
-        HttpResponse<String> first = new Caller(system.entries.get(0)).order("key-1").get();
+        HttpResponse<String> first =
+                new Caller(system.entries.get(0)).order("key-1").get();
         system.entries.get(0).close();
-        HttpResponse<String> second = new Caller(system.entries.get(1)).order("key-1").get();
+        HttpResponse<String> second =
+                new Caller(system.entries.get(1)).order("key-1").get();
         assertThat(first.statusCode()).isEqualTo(201);
         assertThat(second.statusCode()).isEqualTo(201);
         assertThat(second.body()).isEqualTo(first.body());
@@ -159,7 +161,11 @@
 
     private void startServices() throws Exception {
         ServiceSettings service = ServiceSettings.of(LocalSystem.HOST, 0).withProcessingMs(20);
-        system.withPlatform().withService(service).withService(service).withEntry("entry-1").withEntry("entry-2");
+        system.withPlatform()
+                .withService(service)
+                .withService(service)
+                .withEntry("entry-1")
+                .withEntry("entry-2");
         for (var entry : system.entries) {
             Caller caller = new Caller(entry);
             caller.awaitServing(caller::stock);
@@ -167,7 +173,9 @@
     }
 
     private static List<CompletableFuture<HttpResponse<String>>> startStreams(Caller caller) {
-        return IntStream.range(0, STREAMS).mapToObj(i -> caller.chat(TOKENS, true)).toList();
+        return IntStream.range(0, STREAMS)
+                .mapToObj(i -> caller.chat(TOKENS, true))
+                .toList();
     }
 
     private static void assertWhole(List<CompletableFuture<HttpResponse<String>>> streams) {
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/Entry.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import org.kingcuproad.config.settings.EntrySettings;
 import org.kingcuproad.entry.admin.AdminHandler;
@@ -60,7 +61,6 @@
 public final class Entry implements EntryView {
 
     private static final double TRACE_SAMPLE_RATIO = 1.0;
-    private static final int MAX_ADMIN_BODY_BYTES = 8 << 20;
     private static final int MAX_ADMIN_HEADER_BYTES = 16 << 10;
     private static final int DEFAULT_DRAIN_LIMIT_SECONDS = 60;
 
@@ -77,6 +77,7 @@
     private final HttpServer admin;
     private Optional<DocumentInForce> document = Optional.empty();
     private Map<String, HostPort> vmAddresses = Map.of();
+    private final AtomicBoolean closed = new AtomicBoolean();
     private volatile boolean draining;
     private volatile long revision;
     private volatile int drainNoticeSeconds;
@@ -110,7 +111,7 @@
         this.admin = HttpServer.start(
                 eventLoops,
                 HttpServerSettings.of(settings.listenHost(), settings.adminPort())
-                        .withLimits(MAX_ADMIN_BODY_BYTES, MAX_ADMIN_HEADER_BYTES),
+                        .withLimits(AdminRoutes.MAX_BODY_BYTES, MAX_ADMIN_HEADER_BYTES),
                 new OperationsHandler(metrics, this::unreadyReason, administration));
     }
 
@@ -264,6 +265,9 @@
 
     /** Stops at once. Call {@link #drain()} first for a graceful shutdown. */
     public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
         callers.close();
         admin.close();
         relay.shutdownNow();
