--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/GainLedger.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/GainLedger.java
@@ -29,7 +29,7 @@
         double before = seen.relativeStepTime(reference);
         double now = seen.relativeStepTime(map);
         double share = expertShareOfStep;
-        savedSeconds += seconds * ((1 - share + share * before) / (1 - share + share * now) - 1);
+        savedSeconds += seconds * (1 / (1 - share + share * now) - 1 / (1 - share + share * before));
     }
 
     void spend(double seconds, long nowMs) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerSearch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerSearch.java
@@ -56,7 +56,7 @@
         return expertOfSlot.clone();
     }
 
-    /** Returns the expected time of the slowest rank; 1 is a perfect split. */
+    /** Returns the expected time of the slowest rank; 1 is a perfect split at the usual speed. */
     double objective() {
         double sum = 0;
         for (int k = 0; k < weight.length; k++) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LoadTracker.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LoadTracker.java
@@ -18,12 +18,14 @@
     static final double MEMORY_MULTIPLE = 2;
 
     private final ModelGroup group;
+    private final double expertShareOfStep;
     private final PatternTracker patterns;
     private final SpeedTracker speeds;
     private long lastTakenMs = Long.MIN_VALUE;
 
     LoadTracker(ModelGroup group, PlacementSettings settings, PlacementTuning tuning) {
         this.group = group;
+        this.expertShareOfStep = tuning.expertShareOfStep();
         this.patterns = new PatternTracker(tuning, MEMORY_MULTIPLE * settings.paybackHorizonSeconds());
         this.speeds = new SpeedTracker(group.ranks());
     }
@@ -45,7 +47,7 @@
         }
         double[] usual = new double[group.ranks()];
         Arrays.fill(usual, 1);
-        List<Scenario> scenarios = speeds.split(patterns.scenarios(usual));
+        List<Scenario> scenarios = speeds.split(patterns.scenarios(usual), expertShareOfStep);
         double evidence = Math.min(patterns.evidenceSeconds(), speeds.evidenceSeconds(lastTakenMs));
         return Optional.of(new Outlook(scenarios, patterns.loadError(), evidence));
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/Outlook.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/Outlook.java
@@ -16,6 +16,13 @@
         scenarios = List.copyOf(scenarios);
     }
 
+    /** Returns the expected time of a perfect split, a lower bound of the objective. */
+    double leastStepTime() {
+        return scenarios.stream()
+                .mapToDouble(scenario -> scenario.weight() * scenario.leastStepTime())
+                .sum();
+    }
+
     /**
      * Finds the ranks whose speed is not the usual one in some scenario.
      *
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementPlanner.java
@@ -47,8 +47,13 @@
      * @return the plan, empty if no change pays back
      */
     public PlacementPlan plan(ExpertMap map, Outlook outlook) {
+        return plan(map, outlook, 1);
+    }
+
+    /** Plans with the threshold for starting a change raised by a factor. */
+    PlacementPlan plan(ExpertMap map, Outlook outlook, double caution) {
         List<LayerTarget> targets = IntStream.range(0, group.layers())
-                .mapToObj(layer -> planLayer(map.layer(layer), layer, outlook))
+                .mapToObj(layer -> planLayer(map.layer(layer), layer, outlook, caution))
                 .flatMap(Optional::stream)
                 .sorted(Comparator.comparingDouble(target -> -target.valuePerMove()))
                 .toList();
@@ -102,10 +107,10 @@
         return planner.objective(refined) < planner.objective(improved) ? refined : improved;
     }
 
-    private Optional<LayerTarget> planLayer(int[] current, int layer, Outlook outlook) {
+    private Optional<LayerTarget> planLayer(int[] current, int layer, Outlook outlook, double caution) {
         LayerPlanner planner = new LayerPlanner(group, layer, outlook.scenarios());
-        double least = leastImprovement(outlook);
-        if (planner.objective(current) < 1 + least) {
+        double least = caution * leastImprovement(outlook);
+        if (planner.objective(current) < outlook.leastStepTime() + least) {
             return Optional.empty();
         }
         StateValue value = (improvement, moves) -> economics.value(improvement, horizonSeconds(outlook), moves);
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/Scenario.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/Scenario.java
@@ -34,11 +34,11 @@
     }
 
     /**
-     * Returns the time of the slowest rank over the time that a perfect split by speed would take, averaged over the
-     * layers.
+     * Returns the time of the slowest rank, averaged over the layers, in units of the time of a perfect split at the
+     * usual speed.
      *
      * @param map the map to rate
-     * @return the ratio, at least 1
+     * @return the time; at least 1 if no rank is faster than usual
      */
     public double relativeStepTime(ExpertMap map) {
         double sum = 0;
@@ -47,7 +47,7 @@
             for (double time : map.rankTimes(layer, load[layer], slowness)) {
                 slowest = Math.max(slowest, time);
             }
-            sum += slowest / idealTime(layer);
+            sum += slowest / nominalTime(layer);
         }
         return sum / load.length;
     }
@@ -64,10 +64,10 @@
     }
 
     double[] normalisedLoad(int layer) {
-        double ideal = idealTime(layer);
+        double nominal = nominalTime(layer);
         double[] normalised = load[layer].clone();
         for (int expert = 0; expert < normalised.length; expert++) {
-            normalised[expert] /= ideal;
+            normalised[expert] /= nominal;
         }
         return normalised;
     }
@@ -80,15 +80,20 @@
         return load;
     }
 
-    private double idealTime(int layer) {
-        double total = 0;
-        for (double tokens : load[layer]) {
-            total += tokens;
-        }
+    /** Returns the time of a perfect split by speed, in units of one at the usual speed. */
+    double leastStepTime() {
         double speed = 0;
         for (double slow : slowness) {
             speed += 1 / slow;
         }
-        return total / speed;
+        return slowness.length / speed;
+    }
+
+    private double nominalTime(int layer) {
+        double total = 0;
+        for (double tokens : load[layer]) {
+            total += tokens;
+        }
+        return total / slowness.length;
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/SpeedTracker.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/SpeedTracker.java
@@ -63,9 +63,15 @@
         return least;
     }
 
-    /** Splits scenarios into those with the usual speed and those in which stragglers are slow. */
-    List<Scenario> split(List<Scenario> scenarios) {
+    /**
+     * Splits scenarios into those with the usual speed and those in which stragglers are slow.
+     *
+     * <p>A time saved per step counts once per step, and a slow group makes fewer steps in the same time. Weights are
+     * therefore divided by the square of the step time, the slope of steps per second over step time.
+     */
+    List<Scenario> split(List<Scenario> scenarios, double expertShareOfStep) {
         double slowShare = 0;
+        double slowest = 1;
         double[] always = new double[straggler.length];
         double[] slow = new double[straggler.length];
         Arrays.fill(always, 1);
@@ -77,9 +83,13 @@
                     always[rank] = slow[rank];
                 } else {
                     slowShare = Math.max(slowShare, slowShare(rank));
+                    slowest = Math.max(slowest, slow[rank]);
                 }
             }
         }
+        double stepTime = 1 - expertShareOfStep + expertShareOfStep * slowest;
+        double slowWeight = slowShare / (stepTime * stepTime);
+        slowShare = slowWeight / (1 - slowShare + slowWeight);
         List<Scenario> split = new ArrayList<>();
         for (Scenario scenario : scenarios) {
             split.add(scenario.with(scenario.weight() * (1 - slowShare), always));
