Feed first-byte latency and utilisation into admission

Cause: the fair queues assumed that a dispatched request answers at once and kept no places for workspaces within their share. Change: the entry reports first bytes to router and latency quantile, polls with the utilisation of the target, and sends a priority with each dispatch.

--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AdmissionQueues.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AdmissionQueues.java
@@ -12,7 +12,6 @@
 import org.kingcuproad.model.Service;
 import org.kingcuproad.policy.admission.AdmissionDecision;
 import org.kingcuproad.policy.admission.AdmissionRequest;
-import org.kingcuproad.policy.admission.FairAdmission;
 import org.kingcuproad.policy.admission.QueueHead;
 import org.kingcuproad.policy.admission.Ticket;
 import org.kingcuproad.policy.admission.WorkspaceShare;
@@ -22,11 +21,16 @@
  */
 final class AdmissionQueues {
 
-    private static final int MAX_QUEUED_PER_TARGET = 10_000;
+    /** Engine priority of requests of workspaces that use less than their share. */
+    private static final int PRIORITY_WITHIN_SHARE = 1;
 
-    private final Map<String, FairAdmission<RequestTask>> queues = new HashMap<>();
+    private final Map<String, TargetQueue> queues = new HashMap<>();
     private final Map<RequestTask, Ticket<RequestTask>> tickets = new IdentityHashMap<>();
-    private List<WorkspaceShare> shares = List.of();
+    private final UpstreamSelector selector;
+
+    AdmissionQueues(UpstreamSelector selector) {
+        this.selector = selector;
+    }
 
     /**
      * Takes the workspaces, models and services of a document.
@@ -35,14 +39,13 @@
      */
     void update(EnvironmentDocument document) {
         int maxQueued = document.limits().maxQueuedPerWorkspace();
-        shares = document.workspaces().stream()
+        List<WorkspaceShare> shares = document.workspaces().stream()
                 .map(workspace -> WorkspaceShare.of(workspace, maxQueued))
                 .toList();
         Stream<String> models = document.models().stream().map(Model::name);
         Stream<String> services = document.services().stream().map(Service::name);
-        Stream.concat(models, services)
-                .forEach(name -> queues.computeIfAbsent(name, key -> new FairAdmission<>(MAX_QUEUED_PER_TARGET)));
-        queues.values().forEach(queue -> queue.update(shares));
+        Stream.concat(models, services).forEach(name -> queues.computeIfAbsent(name, TargetQueue::new));
+        queues.values().forEach(queue -> queue.admission.update(shares));
     }
 
     /**
@@ -53,12 +56,12 @@
      */
     void offer(RequestTask task, long nowNs) {
         String name = task.context().target().name();
-        FairAdmission<RequestTask> queue = queues.get(name);
+        TargetQueue queue = queues.get(name);
         if (queue == null) {
             task.refuse(ErrorKind.NO_UPSTREAM, "nothing serves " + name);
             return;
         }
-        switch (queue.offer(task, features(task), millis(nowNs))) {
+        switch (queue.admission.offer(task, features(queue, task, nowNs), millis(nowNs))) {
             case AdmissionDecision.Refused<RequestTask> refused -> task.refuse(refused.kind(), refused.detail());
             case AdmissionDecision.Queued<RequestTask> queued -> {
                 tickets.put(task, queued.ticket());
@@ -74,17 +77,31 @@
      * @param nowNs the present time, in nanoseconds
      */
     void ended(RequestTask task, long nowNs) {
-        FairAdmission<RequestTask> queue = queues.get(task.context().target().name());
+        TargetQueue queue = queues.get(task.context().target().name());
         Ticket<RequestTask> ticket = tickets.remove(task);
         if (queue == null || ticket == null) {
             return;
         }
-        if (!queue.cancel(ticket) && task.dispatched()) {
-            queue.finished(task.context().workspace());
+        if (!queue.admission.cancel(ticket) && task.dispatched()) {
+            queue.admission.finished(task.context().workspace());
         }
         pump(queue, nowNs);
     }
 
+    /**
+     * Takes note of the time from dispatch to the first byte of a response.
+     *
+     * @param task the request
+     * @param latencyMs the time, in milliseconds
+     * @param nowNs the present time, in nanoseconds
+     */
+    void firstByte(RequestTask task, double latencyMs, long nowNs) {
+        TargetQueue queue = queues.get(task.context().target().name());
+        if (queue != null) {
+            queue.firstByte.add(latencyMs, millis(nowNs));
+        }
+    }
+
     /**
      * Dispatches waiting requests that upstreams have room for, and refuses those that became too late.
      *
@@ -94,10 +111,10 @@
         queues.values().forEach(queue -> pump(queue, nowNs));
     }
 
-    private void pump(FairAdmission<RequestTask> queue, long nowNs) {
+    private void pump(TargetQueue queue, long nowNs) {
         boolean room = true;
         while (room) {
-            room = switch (queue.poll(millis(nowNs))) {
+            room = switch (queue.admission.poll(millis(nowNs), selector.utilisation(queue.name))) {
                 case QueueHead.Empty<RequestTask> empty -> false;
                 case QueueHead.Late<RequestTask> late -> {
                     late.ticket().request().refuse(late.kind(), "no upstream had room in time");
@@ -108,26 +125,28 @@
         }
     }
 
-    private static boolean dispatch(FairAdmission<RequestTask> queue, Ticket<RequestTask> ticket, long nowNs) {
+    private static boolean dispatch(TargetQueue queue, Ticket<RequestTask> ticket, long nowNs) {
         RequestTask task = ticket.request();
         return switch (task.selectLink(nowNs)) {
             case LinkSelection.Saturated saturated -> false;
             case LinkSelection.None none -> {
-                queue.cancel(ticket);
+                queue.admission.cancel(ticket);
                 task.refuse(ErrorKind.NO_UPSTREAM, "no upstream can take the request now");
                 yield true;
             }
             case LinkSelection.Selected selected -> {
-                queue.dispatched(ticket, nowNs / RequestTask.NANOS_PER_MILLI);
+                task.setPriority(ticket.withinShare() ? PRIORITY_WITHIN_SHARE : 0);
+                queue.admission.dispatched(ticket, millis(nowNs));
                 task.dispatchTo(selected.link(), nowNs);
                 yield true;
             }
         };
     }
 
-    private static AdmissionRequest features(RequestTask task) {
+    private static AdmissionRequest features(TargetQueue queue, RequestTask task, long nowNs) {
         Target target = task.context().target();
-        return new AdmissionRequest(task.context().workspace(), target.cost(), target.firstByteLimitMs(), 0);
+        double expectedMs = queue.firstByte.valueMs(millis(nowNs));
+        return new AdmissionRequest(task.context().workspace(), target.cost(), target.firstByteLimitMs(), expectedMs);
     }
 
     private static long millis(long nowNs) {
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AgentMessages.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AgentMessages.java
@@ -42,7 +42,7 @@
 
     private AgentMessages() {}
 
-    static ExecuteRequest dispatch(RequestContext context, Attempt attempt, long nowNs) {
+    static ExecuteRequest dispatch(RequestContext context, Attempt attempt, int priority, long nowNs) {
         Dispatch.Builder dispatch = Dispatch.newBuilder()
                 .setRequestId(context.requestId())
                 .setAttempt(attempt.number)
@@ -56,6 +56,7 @@
                 .setPath(context.exchange().target())
                 .setBody(ByteString.copyFrom(context.exchange().body()))
                 .setWorkspace(context.workspace())
+                .setPriority(priority)
                 .setTraceparent(Tracing.traceparent(attempt.span))
                 .addAllHeaders(forwarded(context.exchange().headers()));
         return ExecuteRequest.newBuilder().setDispatch(dispatch).build();
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Attempt.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Attempt.java
@@ -22,6 +22,8 @@
 
     HeartbeatMonitor heartbeat;
 
+    boolean firstByteSeen;
+
     @Nullable
     ExecuteStream stream;
 
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -42,6 +42,7 @@
     private final Set<String> excluded = new HashSet<>();
     private @Nullable Attempt attempt;
     private int attempts;
+    private int priority;
     private long ackedBytes;
     private boolean fencing;
     private boolean done;
@@ -56,6 +57,10 @@
         return context;
     }
 
+    void setPriority(int newPriority) {
+        priority = newPriority;
+    }
+
     /** Queues the request. */
     void start() {
         context.exchange().onClosed(this::onCallerGone);
@@ -120,7 +125,7 @@
         sink.reset();
         environment.selector().dispatched(next.upstream(), nowNs);
         openStream(next);
-        send(next, AgentMessages.dispatch(context, next, nowNs), nowNs);
+        send(next, AgentMessages.dispatch(context, next, priority, nowNs), nowNs);
     }
 
     /**
@@ -211,12 +216,24 @@
     }
 
     private void deliver(Attempt current, AssemblyStep.DeliverBytes deliver, long nowNs) {
+        noteFirstByte(current, nowNs);
         sink.chunk(deliver.data().toArray());
         if (sink.consumedBytes() - ackedBytes >= ACK_BYTES) {
             sendAck(current, nowNs);
         }
     }
 
+    private void noteFirstByte(Attempt current, long nowNs) {
+        if (current.firstByteSeen) {
+            return;
+        }
+        current.firstByteSeen = true;
+        double latencyMs = (double) (nowNs - current.startedNs) / NANOS_PER_MILLI;
+        environment.selector().firstByte(current.upstream(), latencyMs, nowNs);
+        environment.queues().firstByte(this, latencyMs, nowNs);
+        environment.metrics().timer("requests.firstByte").update(nowNs - context.startedNs(), TimeUnit.NANOSECONDS);
+    }
+
     private void onComplete(Attempt current, long nowNs) {
         send(current, AgentMessages.ack(current.assembler.resumeOffset()), nowNs);
         endAttempt(AttemptOutcome.COMPLETE);
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTasks.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTasks.java
@@ -20,7 +20,7 @@
 
     private final RequestEnvironment environment;
     private final Set<RequestTask> active = new LinkedHashSet<>();
-    private final AdmissionQueues queues = new AdmissionQueues();
+    private final AdmissionQueues queues;
     private RetryBudget retryBudget = new RetryBudget(0, 0);
     private double retryBudgetRatio;
 
@@ -41,6 +41,7 @@
             Tracing tracing,
             MetricRegistry metrics,
             LongSupplier clockNs) {
+        this.queues = new AdmissionQueues(selector);
         this.environment = new RequestEnvironment(
                 links, selector, queues, this::tryExtraAttempt, tracing, metrics, clockNs, this::ended);
         eventLoop.scheduleAtFixedRate(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
@@ -110,6 +110,16 @@
         router.onFinished(upstream, routed, (nowNs - startedNs) / 1e6, millis(nowNs));
     }
 
+    @Override
+    public void firstByte(String upstream, double latencyMs, long nowNs) {
+        router.onFirstToken(upstream, latencyMs, millis(nowNs));
+    }
+
+    @Override
+    public double utilisation(String target) {
+        return router.utilisation(target);
+    }
+
     @Override
     public void onReport(String upstream, AgentReport report) {
         List<CacheEvent> events = report.getCacheEventsList().stream()
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/UpstreamSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/UpstreamSelector.java
@@ -32,4 +32,21 @@
      * @param nowNs the present time, in nanoseconds
      */
     void ended(String upstream, AttemptOutcome outcome, long startedNs, long nowNs);
+
+    /**
+     * Notes the first byte of a response.
+     *
+     * @param upstream name of the upstream
+     * @param latencyMs time since the attempt was sent, in milliseconds
+     * @param nowNs the present time, in nanoseconds
+     */
+    void firstByte(String upstream, double latencyMs, long nowNs);
+
+    /**
+     * Tells how full the upstreams of a model or service are.
+     *
+     * @param target name of the model or service
+     * @return estimated load as a ratio of the limits
+     */
+    double utilisation(String target);
 }
