--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/RankSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/RankSwitch.java
@@ -305,12 +305,6 @@
         }
     }
 
-    @Override
-    public String toString() {
-        return "rank " + rank + " " + phase + " pending " + pending + " committed " + committed + " view "
-                + view.hash();
-    }
-
     private Optional<String> refusalOf(PrepareMap request) {
         PrepareMap before = pending;
         if (request.fence() < highestFence) {
