Tell retries of a lost order that its outcome is unknown

Cause: an order whose upstream was lost before it answered was recorded like one that ran, so a retry was told "ran". Change: an outcome without a status gives outcome-unknown; one with a status whose body is not kept gives already-ran.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/KeptAnswer.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/KeptAnswer.java
@@ -37,10 +37,14 @@
         complete = true;
     }
 
+    /** Returns the outcome; without a status it is not known whether the order ran. */
     Outcome outcome() {
-        if (!complete || !wanted || !fits) {
+        if (status == 0) {
             return Outcome.withoutAnswer();
         }
+        if (!complete || !wanted || !fits) {
+            return new Outcome(status, 0, false, Bytes.EMPTY);
+        }
         byte[] whole = body.toByteArray();
         return Outcome.of(status, DIGEST.hashBytes(whole), Bytes.wrap(whole));
     }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/StoredAnswers.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/StoredAnswers.java
@@ -12,11 +12,17 @@
     private StoredAnswers() {}
 
     static List<ResponseFrame> frames(Optional<Outcome> outcome) {
-        return outcome.filter(Outcome::bodyKept).map(StoredAnswers::whole).orElseGet(StoredAnswers::alreadyRan);
+        return outcome.map(StoredAnswers::frames).orElseGet(StoredAnswers::alreadyRan);
     }
 
     static List<ResponseFrame> frames(Outcome outcome) {
-        return frames(Optional.of(outcome));
+        if (outcome.bodyKept()) {
+            return whole(outcome);
+        }
+        // The upstream of an order without a status was lost before it answered.
+        return outcome.status() == 0
+                ? failure(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.OUTCOME_UNKNOWN.meaning())
+                : alreadyRan();
     }
 
     static List<ResponseFrame> alreadyRan() {
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFaultTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/AgentFaultTest.java
@@ -104,7 +104,7 @@
         }
     }
 
-    /** Guards against "not run" for an order whose upstream died before it answered. */
+    /** Guards against "not run" or "ran" for an order whose upstream died before it answered, also on a retry. */
     @Test
     void reportsUnknownWhenUpstreamIsLost() throws Exception {
         try (AgentFixture fixture =
@@ -112,6 +112,10 @@
                 ExecuteClient client = fixture.connect().send(AgentFixture.order("o-1"))) {
             Failed failed = new ResponseReader().readAll(client).failed();
             assertFailed(failed, "upstream-lost", Execution.EXECUTION_UNKNOWN);
+            try (ExecuteClient retry = fixture.connect().send(AgentFixture.order("o-1"))) {
+                Failed again = new ResponseReader().readAll(retry).failed();
+                assertThat(again.getExecution()).isEqualTo(Execution.EXECUTION_UNKNOWN);
+            }
             assertThat(fixture.service.runs("o-1")).isEqualTo(1);
         }
     }
