Serve bound idempotency keys

Cause: callers had no keys that work during a store outage, and a bound key whose agent is gone was answered as not run although an earlier attempt may have run. Change: POST /v1/idempotency-keys binds a key to one agent incarnation; without that agent the answer is outcome-unknown. Conclusion: orders with bound keys run through an outage of the store.

--- a/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/Caller.java
+++ b/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/Caller.java
@@ -35,6 +35,12 @@
         return send(key.isEmpty() ? request : request.header("Idempotency-Key", key));
     }
 
+    CompletableFuture<String> boundKey(String path) {
+        HttpRequest.Builder request =
+                request("/v1/idempotency-keys?method=POST&path=" + path).POST(HttpRequest.BodyPublishers.noBody());
+        return send(request).thenApply(response -> response.body().replaceAll(".*:\"(kb1[^\"]*)\".*", "$1"));
+    }
+
     CompletableFuture<HttpResponse<String>> stock() {
         return send(request("/stock/padded-envelope"));
     }
--- a/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/FaultTest.java
+++ b/kingcuproad-daemon/src/test/java/org/kingcuproad/daemon/FaultTest.java
@@ -121,6 +121,25 @@
         assertThat(system.ordersRun()).isEqualTo(2);
     }
 
+    @Test
+    void boundKeyWorksInAStoreOutageAndIsUnknownAfterItsAgentRestarted() throws Exception {
+        startServices();
+        Caller caller = new Caller(system.entries.get(0));
+        String key = caller.boundKey("/orders").get();
+        system.platform.orElseThrow().setFaults(Faults.NONE.withOutage(Outage.REFUSE));
+        HttpResponse<String> first = caller.order(key).get();
+        HttpResponse<String> second = caller.order(key).get();
+        assertThat(first.statusCode()).isEqualTo(201);
+        assertThat(second.body()).isEqualTo(first.body());
+        for (int agent = 0; agent < system.agents.size(); agent++) {
+            system.restartAgent(agent);
+        }
+        caller.awaitServing(caller::stock);
+        HttpResponse<String> third = caller.order(key).get();
+        assertThat(third.body()).contains("\"kind\":\"outcome-unknown\"", "\"execution\":\"unknown\"");
+        assertThat(system.ordersRun()).isEqualTo(1);
+    }
+
     @Test
     void orderRunsOnceWhenTheStoreLosesTheResponseToItsClaim() throws Exception {
         startServices();
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AdmissionQueues.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/AdmissionQueues.java
@@ -131,7 +131,7 @@
             case LinkSelection.Saturated saturated -> false;
             case LinkSelection.None none -> {
                 queue.admission.cancel(ticket);
-                task.refuse(ErrorKind.NO_UPSTREAM, "no upstream can take the request now");
+                task.refuse(none.kind(), "no upstream can take the request now: " + none.reason());
                 yield true;
             }
             case LinkSelection.Selected selected -> {
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/CallerHandler.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/CallerHandler.java
@@ -2,6 +2,7 @@
 
 import io.opentelemetry.api.trace.Span;
 import io.opentelemetry.api.trace.SpanKind;
+import java.security.SecureRandom;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +13,7 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
 import org.kingcuproad.model.Workspace;
+import org.kingcuproad.policy.claim.BoundKey;
 import org.kingcuproad.runtime.http.HttpExchange;
 import org.kingcuproad.runtime.http.HttpHandler;
 import org.kingcuproad.runtime.http.Problems;
@@ -20,13 +22,16 @@
 /** Admits the requests of callers: credential, limits, target. */
 public final class CallerHandler implements HttpHandler {
 
+    private static final String IDEMPOTENCY_KEYS = "/v1/idempotency-keys";
     private static final String IDEMPOTENCY_KEY = "idempotency-key";
+    private static final int CREATED = 201;
     private static final int MAX_KEY_CHARS = 255;
 
     private final Supplier<Optional<DocumentInForce>> document;
     private final RequestTasks tasks;
     private final Tracing tracing;
     private final LongSupplier clockNs;
+    private final SecureRandom random = new SecureRandom();
 
     /**
      * Creates the handler.
@@ -48,17 +53,38 @@
     public void handle(HttpExchange exchange) {
         String requestId = UUID.randomUUID().toString();
         try {
-            tasks.start(admit(exchange, requestId));
+            if (exchange.path().equals(IDEMPOTENCY_KEYS)) {
+                bindKey(exchange);
+            } else {
+                tasks.start(admit(exchange, requestId));
+            }
         } catch (KingcuproadException refused) {
             Problems.respond(exchange, refused.kind(), refused.detail(), requestId);
         }
     }
 
-    private RequestContext admit(HttpExchange exchange, String requestId) throws KingcuproadException {
-        long nowNs = clockNs.getAsLong();
-        DocumentInForce current = document.get()
+    /** Answers {@code POST /v1/idempotency-keys?method=POST&path=/orders} with a key for such an order. */
+    private void bindKey(HttpExchange exchange) throws KingcuproadException {
+        DocumentInForce current = inForce();
+        Workspace workspace = authenticate(current, exchange);
+        String method = exchange.queryValue("method").orElse("POST");
+        String path = exchange.queryValue("path").orElse("");
+        Target target = TargetResolver.resolve(current.versioned().document(), method, path, exchange.body());
+        BoundKey key = tasks.bindKey(target, workspace.name(), random.nextLong())
+                .orElseThrow(() -> new KingcuproadException(
+                        ErrorKind.NO_UPSTREAM, "no upstream can take an order of this kind now"));
+        exchange.respondJson(CREATED, "{\"idempotencyKey\":\"" + key.text() + "\"}");
+    }
+
+    private DocumentInForce inForce() throws KingcuproadException {
+        return document.get()
                 .orElseThrow(() ->
                         new KingcuproadException(ErrorKind.NO_UPSTREAM, "this entry has no environment document yet"));
+    }
+
+    private RequestContext admit(HttpExchange exchange, String requestId) throws KingcuproadException {
+        long nowNs = clockNs.getAsLong();
+        DocumentInForce current = inForce();
         Workspace workspace = authenticate(current, exchange);
         EnvironmentDocument environment = current.versioned().document();
         Target target = TargetResolver.resolve(environment, exchange.method(), exchange.path(), exchange.body());
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/LinkSelection.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/LinkSelection.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.entry.request;
 
 import org.kingcuproad.entry.link.AgentLink;
+import org.kingcuproad.model.ErrorKind;
 
 /** A selection with the connection to the agent of the selected upstream. */
 sealed interface LinkSelection {
@@ -15,6 +16,11 @@
     /** Every upstream that could take the request runs as many as it may. */
     record Saturated() implements LinkSelection {}
 
-    /** No upstream can take the request. */
-    record None() implements LinkSelection {}
+    /**
+     * No upstream can take the request.
+     *
+     * @param kind what the caller is told
+     * @param reason what keeps the upstreams from taking it
+     */
+    record None(ErrorKind kind, String reason) implements LinkSelection {}
 }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestContext.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestContext.java
@@ -25,14 +25,4 @@
         long deadlineNs,
         long startedNs,
         long revision,
-        Span span) {
-
-    /**
-     * Tells whether the request must not run twice and the caller can send it again.
-     *
-     * @return {@code true} for a non-idempotent request with an idempotency key
-     */
-    public boolean keyedOrder() {
-        return !target.idempotent() && !idempotencyKey.isEmpty();
-    }
-}
+        Span span) {}
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -136,12 +136,12 @@
      */
     LinkSelection selectLink(long nowNs) {
         while (true) {
-            switch (environment.selector().select(context, excluded, nowNs)) {
+            switch (select(nowNs)) {
                 case Selection.Saturated saturated -> {
                     return new LinkSelection.Saturated();
                 }
                 case Selection.None none -> {
-                    return new LinkSelection.None();
+                    return new LinkSelection.None(none.kind(), none.reason());
                 }
                 case Selection.Selected selected -> {
                     Optional<AgentLink> link = environment.links().connected(selected.upstream());
@@ -154,6 +154,12 @@
         }
     }
 
+    private Selection select(long nowNs) {
+        return environment
+                .selector()
+                .select(context.target(), context.workspace(), context.idempotencyKey(), excluded, nowNs);
+    }
+
     /**
      * Tells whether an attempt was sent.
      *
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTasks.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTasks.java
@@ -4,12 +4,15 @@
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.kingcuproad.entry.link.AgentLink;
 import org.kingcuproad.entry.link.AgentLinks;
 import org.kingcuproad.model.EnvironmentDocument;
 import org.kingcuproad.policy.admission.RetryBudget;
+import org.kingcuproad.policy.claim.BoundKey;
 import org.kingcuproad.runtime.trace.Tracing;
 
 /** The requests in progress at an entry. Owned by the event loop of the entry. */
@@ -73,6 +76,27 @@
         }
     }
 
+    /**
+     * Makes an idempotency key that is bound to one incarnation of one agent, which needs no store call.
+     *
+     * @param target what the order will ask for
+     * @param workspace workspace of the caller
+     * @param random distinguishes the key from all others
+     * @return the key, or empty if no agent can take an order now
+     */
+    public Optional<BoundKey> bindKey(Target target, String workspace, long random) {
+        long nowNs = environment.clockNs().getAsLong();
+        Selection selection = environment.selector().select(target, workspace, "", Set.of(), nowNs);
+        if (!(selection instanceof Selection.Selected selected)) {
+            return Optional.empty();
+        }
+        return environment
+                .links()
+                .connected(selected.upstream())
+                .flatMap(AgentLink::incarnation)
+                .map(incarnation -> new BoundKey(selected.upstream(), incarnation, random));
+    }
+
     /**
      * Counts all requests.
      *
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RouterSelector.java
@@ -8,6 +8,7 @@
 import java.util.function.LongSupplier;
 import org.kingcuproad.entry.link.ReportListener;
 import org.kingcuproad.model.EnvironmentDocument;
+import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.ModelGroup;
 import org.kingcuproad.model.Upstream;
 import org.kingcuproad.model.UpstreamKind;
@@ -65,20 +66,6 @@
     }
 
     @Override
-    public Selection select(RequestContext request, Set<String> excluded, long nowNs) {
-        return select(request.target(), request.workspace(), request.idempotencyKey(), excluded, nowNs);
-    }
-
-    /**
-     * Chooses an upstream, without counting the choice as load.
-     *
-     * @param target what the request asks for
-     * @param workspace workspace of the caller
-     * @param key idempotency key, or an empty string
-     * @param excluded upstreams that must not be chosen
-     * @param nowNs the present time, in nanoseconds
-     * @return the upstream, or why there is none
-     */
     public Selection select(Target target, String workspace, String key, Set<String> excluded, long nowNs) {
         return switch (target) {
             case Target.ModelTarget model -> {
@@ -148,7 +135,8 @@
             case RoutingDecision.Chosen chosen ->
                 new Selection.Selected(chosen.upstream(), chosen.reason().name());
             case RoutingDecision.None none when none.reason() == NoChoiceReason.SATURATED -> new Selection.Saturated();
-            case RoutingDecision.None none -> new Selection.None(none.reason().name());
+            case RoutingDecision.None none ->
+                Selection.None.unavailable(none.reason().name());
         };
     }
 
@@ -157,8 +145,9 @@
         Optional<BoundKey> bound = BoundKey.parse(key);
         if (bound.isPresent()) {
             String upstream = bound.get().upstream();
+            // Only that agent knows whether an earlier attempt ran.
             return excluded.contains(upstream)
-                    ? new Selection.None("the upstream of the bound key can't take it")
+                    ? new Selection.None(ErrorKind.OUTCOME_UNKNOWN, "the agent of the bound key can't be reached")
                     : new Selection.Selected(upstream, "BOUND_KEY");
         }
         List<String> candidates = upstreams.stream()
@@ -170,7 +159,7 @@
         int shard = ClaimKey.of(workspace, key).shard();
         return ClaimKey.owner(environment, shard, candidates)
                 .<Selection>map(upstream -> new Selection.Selected(upstream, "OWNER_OF_CLAIM_SHARD_" + shard))
-                .orElseGet(() -> new Selection.None("no upstream owns the claim shard"));
+                .orElseGet(() -> Selection.None.unavailable("no upstream owns the claim shard"));
     }
 
     /** All groups of a model can run its requests, so the router balances over the model. */
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Selection.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/Selection.java
@@ -1,5 +1,7 @@
 package org.kingcuproad.entry.request;
 
+import org.kingcuproad.model.ErrorKind;
+
 /** Where an attempt may go now. */
 public sealed interface Selection {
 
@@ -17,7 +19,19 @@
     /**
      * No upstream can take the request.
      *
+     * @param kind what the caller is told
      * @param reason what keeps the upstreams from taking it
      */
-    record None(String reason) implements Selection {}
+    record None(ErrorKind kind, String reason) implements Selection {
+
+        /**
+         * Creates the usual case, in which the request did not run and may be sent again.
+         *
+         * @param reason what keeps the upstreams from taking it
+         * @return the selection
+         */
+        public static None unavailable(String reason) {
+            return new None(ErrorKind.NO_UPSTREAM, reason);
+        }
+    }
 }
--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/UpstreamSelector.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/UpstreamSelector.java
@@ -6,14 +6,16 @@
 public interface UpstreamSelector {
 
     /**
-     * Chooses an upstream.
+     * Chooses an upstream, without counting the choice as load.
      *
-     * @param request the request
-     * @param excluded upstreams that already failed or refused this request
+     * @param target what the request asks for
+     * @param workspace workspace of the caller
+     * @param key idempotency key, or an empty string
+     * @param excluded upstreams that already failed or refused the request
      * @param nowNs the present time, in nanoseconds
      * @return the upstream, or why there is none
      */
-    Selection select(RequestContext request, Set<String> excluded, long nowNs);
+    Selection select(Target target, String workspace, String key, Set<String> excluded, long nowNs);
 
     /**
      * Notes that an attempt was sent.
