--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -71,6 +71,7 @@
                 new ExperimentPlacementCommand(),
                 new ExperimentRoutingCommand(),
                 new ExplainCommand(),
+                new LoadCommand(),
                 new PromoteCommand(),
                 new StatusCommand(),
                 new TrialCommand(),
