Measure load generator and engine stand-in alone in the benchmark

Cause: a trial gave 209 requests/s through entry and agent with neither of them busy, and nothing told how much the load generator carries alone.

Change: the benchmark runs the same closed loop directly against the engine stand-in.

--- a/scripts/benchmark.sh
+++ b/scripts/benchmark.sh
@@ -120,7 +120,7 @@
   local part
   declare -A cpu
   for part in entry agent; do cpu[$part]=$(cpu_seconds "${pid_of[$part]}"); done
-  # Without warm-up, so that the CPU time belongs to the counted requests; warm_up ran before.
+  # Without warm-up, so that the CPU time belongs to the counted requests; the warm-up ran before.
   load full_load "$entry_port" --concurrency "$concurrency" --warm-up-seconds 0
   for part in entry agent; do
     cpu[$part]=$(calculate "$(cpu_seconds "${pid_of[$part]}") - ${cpu[$part]}")
@@ -140,8 +140,14 @@
     --duration-seconds $((2 * warm_up_seconds)) >/dev/null || true
 }
 
+# The rate of load generator and engine stand-in alone, which no entry in front of them can exceed.
+measure_ceiling() {
+  load direct_full_load "$engine_port" --concurrency "$concurrency" --warm-up-seconds "$warm_up_seconds"
+  figure direct_full_load_requests_per_second "$(calculate "$(result direct_full_load requestsPerSecond)")" requests/s
+}
+
 measure_latency() {
-  local rate
+  local rate percentile
   rate=$(calculate "$(result full_load requestsPerSecond) / 2")
   figure half_load_rate "$rate" requests/s
   load direct "$engine_port" --rate "$rate" --warm-up-seconds "$warm_up_seconds"
@@ -158,5 +164,6 @@
 measure_idle
 warm_up
 measure_throughput
+measure_ceiling
 measure_latency
 memory after_load
