--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/link/AgentLink.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/link/AgentLink.java
@@ -20,7 +20,11 @@
 import org.kingcuproad.wire.proto.FenceRequest;
 import org.kingcuproad.wire.proto.FenceResponse;
 import org.kingcuproad.wire.proto.FenceState;
+import org.kingcuproad.wire.proto.PrepareMapRequest;
+import org.kingcuproad.wire.proto.PrepareMapResponse;
 import org.kingcuproad.wire.proto.ReportRequest;
+import org.kingcuproad.wire.proto.SettleMapRequest;
+import org.kingcuproad.wire.proto.SettleMapResponse;
 
 /**
  * The connection to one agent. Owned by the event loop of the entry: every method is called there and every event is
@@ -146,6 +150,35 @@
         return result.thenApply(FenceResponse::getState);
     }
 
+    /**
+     * Asks the agent to promise a map.
+     *
+     * @param request the map, the step and the fencing token
+     * @param limitMs longest wait, which covers loading the weights, in milliseconds
+     * @return the answer, or an exceptional completion if the agent can't be reached in time
+     */
+    public CompletableFuture<PrepareMapResponse> prepareMap(PrepareMapRequest request, long limitMs) {
+        CompletableFuture<PrepareMapResponse> result = new CompletableFuture<>();
+        AgentServiceGrpc.newStub(channel)
+                .withDeadlineAfter(limitMs, TimeUnit.MILLISECONDS)
+                .prepareMap(request, new UnaryObserver<>(eventLoop, result));
+        return result;
+    }
+
+    /**
+     * Tells the agent the result of a map switch.
+     *
+     * @param request the switch and whether all ranks promised
+     * @return the receipt, or an exceptional completion if the agent can't be reached in time
+     */
+    public CompletableFuture<SettleMapResponse> settleMap(SettleMapRequest request) {
+        CompletableFuture<SettleMapResponse> result = new CompletableFuture<>();
+        AgentServiceGrpc.newStub(channel)
+                .withDeadlineAfter(CALL_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .settleMap(request, new UnaryObserver<>(eventLoop, result));
+        return result;
+    }
+
     /**
      * Replaces the connection, because it went silent. A silent connection never comes back, while new ones work.
      *
--- /dev/null
+++ b/kingcuproad-entry/src/test/java/org/kingcuproad/entry/coordinator/MapCoordinatorTest.java
@@ -0,0 +1,252 @@
+package org.kingcuproad.entry.coordinator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.kingcuproad.agent.Agent;
+import org.kingcuproad.agent.AgentOptions;
+import org.kingcuproad.agent.GroupOptions;
+import org.kingcuproad.emulator.engine.EngineGroup;
+import org.kingcuproad.emulator.engine.EngineSettings;
+import org.kingcuproad.emulator.engine.GroupSettings;
+import org.kingcuproad.emulator.engine.MapStep;
+import org.kingcuproad.emulator.platform.Faults;
+import org.kingcuproad.emulator.platform.Outage;
+import org.kingcuproad.emulator.platform.PlatformStandIn;
+import org.kingcuproad.model.EnvironmentDocument;
+import org.kingcuproad.model.HostPort;
+import org.kingcuproad.model.Limits;
+import org.kingcuproad.model.ModelGroup;
+import org.kingcuproad.model.PlacementSettings;
+import org.kingcuproad.model.Upstream;
+import org.kingcuproad.model.UpstreamKind;
+import org.kingcuproad.policy.mapswitch.LeaseHolder;
+
+/** Guards against coordinators that leave a group with two maps in a step (H1) or act on a lease they lost. */
+class MapCoordinatorTest {
+
+    private static final String HOST = "127.0.0.1";
+    private static final String GROUP = "drafting";
+    private static final String OBJECT = "maps/kitchen/drafting";
+    private static final int AGENTS = 3;
+
+    // Steps of 2 ms give a second to prepare; the agents refuse a step that has passed, and the test tries again.
+    private static final long LEAD_STEPS = 500;
+    private static final Limits LIMITS = new Limits(1_000, 1_000, 1, 0.1, 1, 1, 1);
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final List<Agent> agents = new ArrayList<>();
+    private final List<CoordinatorProcess> coordinators = new ArrayList<>();
+    private final Map<String, HostPort> addresses = new HashMap<>();
+    private PlatformStandIn platform;
+    private EngineGroup group;
+
+    @BeforeEach
+    void start() throws Exception {
+        platform = PlatformStandIn.start(HOST, 0);
+        GroupSettings settings = GroupSettings.of(GROUP, 2, 2).withoutFencing();
+        group = EngineGroup.start(loops, settings, Collections.nCopies(AGENTS, EngineSettings.of(HOST, 0)));
+        List<HostPort> ranks = new ArrayList<>();
+        for (int rank = 0; rank < AGENTS; rank++) {
+            ranks.add(new HostPort(HOST, freePort()));
+            addresses.put("vm-" + rank, ranks.get(rank));
+        }
+        for (int rank = 0; rank < AGENTS; rank++) {
+            String engine = "http://" + HOST + ":" + group.engines().get(rank).port();
+            agents.add(Agent.start(AgentOptions.of("m-" + rank, engine, 11 + rank)
+                    .withListen(HOST, ranks.get(rank).port(), 0)
+                    .withGroup(new GroupOptions(GROUP, rank, ranks))));
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        coordinators.forEach(CoordinatorProcess::close);
+        agents.forEach(Agent::close);
+        group.close();
+        platform.close();
+        loops.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void switchesAllRanksInOneStepAndRecordsTheMap() throws Exception {
+        CoordinatorProcess coordinator = holder("entry-1");
+        SwitchOutcome first = switchUntilCommitted(coordinator);
+        assertUsed(first.mapVersion());
+        awaitRecorded(first.mapVersion());
+        SwitchOutcome second = switchUntilCommitted(coordinator);
+        assertThat(second.mapVersion()).isGreaterThan(first.mapVersion());
+        assertUsed(second.mapVersion());
+        awaitRecorded(second.mapVersion());
+    }
+
+    /** The response to the write of the lease is lost; the holder finds its own identifier when it reads back. */
+    @Test
+    void acquiresTheLeaseAfterALostResponse() throws Exception {
+        platform.setFaults(Faults.NONE.withLostWriteResponses(1));
+        CoordinatorProcess coordinator = coordinator("entry-1");
+        await("lease", () -> {
+            coordinator.advance(20);
+            return coordinator.token(GROUP).isPresent();
+        });
+    }
+
+    /** A process is paused between its decision and its commands, while another one takes the lease and switches. */
+    @Test
+    void refusesACoordinatorThatWasPausedPastItsLease() throws Exception {
+        CoordinatorProcess paused = holder("entry-1");
+        awaitRecorded(switchUntilCommitted(paused).mapVersion());
+        CompletableFuture<Void> resume = paused.pauseAfterMapWrite();
+        CompletableFuture<SwitchOutcome> late = paused.request(GROUP, target(100_000));
+        await(
+                "target of the paused coordinator",
+                () -> mapObject().path("target").path("switchStep").asLong() == 100_000);
+        CoordinatorProcess successor = takeOver("entry-2");
+        assertThat(successor.token(GROUP).getAsLong())
+                .isGreaterThan(paused.token(GROUP).getAsLong());
+        SwitchOutcome done = switchUntilCommitted(successor);
+        assertUsed(done.mapVersion());
+        resume.complete(null);
+        SwitchOutcome refused = late.get(30, TimeUnit.SECONDS);
+        assertThat(refused.committed()).isFalse();
+        assertThat(refused.reason()).contains("a higher fencing token was seen");
+        assertUsed(done.mapVersion());
+        awaitRecorded(done.mapVersion());
+    }
+
+    /** The store goes down after the target is written; the ranks settle, and the record follows the outage. */
+    @Test
+    void settlesWhileTheStoreIsDown() throws Exception {
+        CoordinatorProcess coordinator = holder("entry-1");
+        long before = switchUntilCommitted(coordinator).mapVersion();
+        awaitRecorded(before);
+        CompletableFuture<Void> resume = coordinator.pauseAfterMapWrite();
+        long step = lastStep() + 5 * LEAD_STEPS;
+        CompletableFuture<SwitchOutcome> result = coordinator.request(GROUP, target(step));
+        await("target", () -> mapObject().path("target").path("switchStep").asLong() == step);
+        platform.setFaults(Faults.NONE.withOutage(Outage.REFUSE));
+        resume.complete(null);
+        SwitchOutcome outcome = result.get(30, TimeUnit.SECONDS);
+        await("step " + step, () -> lastStep() > step + 10);
+        assertUsed(outcome.committed() ? outcome.mapVersion() : before);
+        assertThat(mapObject().path("inForce").path("mapVersion").asLong()).isEqualTo(before);
+        platform.setFaults(Faults.NONE);
+        await("record", () -> {
+            coordinator.advance(100);
+            return recorded() == (outcome.committed() ? outcome.mapVersion() : before);
+        });
+    }
+
+    private CoordinatorProcess coordinator(String name) {
+        CoordinatorProcess process = new CoordinatorProcess(name, platform.url(), document(), addresses);
+        coordinators.add(process);
+        return process;
+    }
+
+    private CoordinatorProcess holder(String name) throws Exception {
+        CoordinatorProcess process = coordinator(name);
+        await("lease", () -> process.token(GROUP).isPresent());
+        return process;
+    }
+
+    /** The clock of the new process runs past the lease, while the clock of the present holder stands. */
+    private CoordinatorProcess takeOver(String name) throws Exception {
+        CoordinatorProcess process = coordinator(name);
+        long endMs = LeaseHolder.LEASE_MS * 4;
+        for (long ms = 0; ms < endMs && process.token(GROUP).isEmpty(); ms += 500) {
+            process.advance(500);
+            TimeUnit.MILLISECONDS.sleep(250);
+        }
+        assertThat(process.token(GROUP)).isPresent();
+        return process;
+    }
+
+    private SwitchOutcome switchUntilCommitted(CoordinatorProcess process) throws Exception {
+        SwitchOutcome outcome = SwitchOutcome.refused("");
+        for (int attempt = 0; attempt < 20 && !outcome.committed(); attempt++) {
+            long step = lastStep() + LEAD_STEPS;
+            outcome = process.request(GROUP, target(step)).get(30, TimeUnit.SECONDS);
+            await("step " + step, () -> lastStep() > step + 10);
+        }
+        assertThat(outcome.committed()).as(outcome.reason()).isTrue();
+        return outcome;
+    }
+
+    private void assertUsed(long mapVersion) {
+        assertThat(group.mixedSteps()).isZero();
+        List<MapStep> history = group.history();
+        long last = history.getLast().step();
+        assertThat(history)
+                .filteredOn(used -> used.step() == last)
+                .hasSize(2 * AGENTS)
+                .allSatisfy(used -> assertThat(used.mapVersion()).isEqualTo(mapVersion));
+    }
+
+    private void awaitRecorded(long mapVersion) throws Exception {
+        await("record of map " + mapVersion, () -> recorded() == mapVersion);
+    }
+
+    private long recorded() throws Exception {
+        return mapObject().path("inForce").path("mapVersion").asLong();
+    }
+
+    private JsonNode mapObject() throws Exception {
+        return new ObjectMapper().readTree(platform.object(OBJECT).orElse("{}".getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private long lastStep() {
+        List<MapStep> history = group.history();
+        return history.isEmpty() ? 0 : history.getLast().step();
+    }
+
+    private static MapTarget target(long step) {
+        return new MapTarget(List.of(0, 1, 2), AGENTS, step);
+    }
+
+    private static EnvironmentDocument document() {
+        List<Upstream> upstreams = new ArrayList<>();
+        for (int rank = 0; rank < AGENTS; rank++) {
+            upstreams.add(new Upstream("m-" + rank, "vm-" + rank, "dc", UpstreamKind.MODEL, GROUP, 4, false));
+        }
+        return new EnvironmentDocument(
+                "kitchen",
+                "region",
+                List.of("dc"),
+                List.of(),
+                List.of(new ModelGroup(GROUP, "model", AGENTS, 1, AGENTS, 1)),
+                List.of(),
+                upstreams,
+                List.of(),
+                LIMITS,
+                new PlacementSettings(1, 1, 60, 1, 1));
+    }
+
+    private static void await(String what, Callable<Boolean> condition) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+        while (!condition.call()) {
+            assertThat(System.nanoTime()).as(what).isLessThan(endNs);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
