Never say "not run" after an attempt that may have run

Cause: an idempotent request whose first attempt was lost and whose second was refused was answered with the second kind, which says "not run" (found by reading docs/at-most-once.md against the request task). Also, a stream that fell silent was resumed on the silent connection first. Change: RunKnowledge keeps what earlier attempts may have done; the connection is replaced before the stream resumes.

--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/request/RequestTask.java
@@ -39,6 +39,7 @@
     private final RequestContext context;
     private final RequestEnvironment environment;
     private final ResponseSink sink;
+    private final RunKnowledge knowledge = new RunKnowledge();
     private final Set<String> excluded = new HashSet<>();
     private @Nullable Attempt attempt;
     private int attempts;
@@ -96,8 +97,8 @@
             case WAIT -> {}
             case SEND -> sendAck(current, nowNs);
             case ABANDON -> {
-                onStreamLost(current, "no message for " + HeartbeatMonitor.DEAD_AFTER_MS + " ms", nowNs);
                 current.link.replaceChannel(stream.channelGeneration());
+                onStreamLost(current, "no message for " + HeartbeatMonitor.DEAD_AFTER_MS + " ms", nowNs);
             }
         }
     }
@@ -296,11 +297,10 @@
     }
 
     private void retryOrFail(ErrorKind kind, Execution execution, String detail, long nowNs) {
+        knowledge.attemptFailed(kind, execution);
         boolean idempotent = context.target().idempotent();
-        boolean allowed = RetryRule.mayRetry(kind, execution, idempotent, sink.started(), attempts);
-        if (allowed
-                && (kind == ErrorKind.SHUTTING_DOWN || environment.retryBudget().getAsBoolean())) {
-            // A refusal by a leaving agent is rare and cheap, and must not fail a caller during a planned stop.
+        boolean safe = RetryRule.mayRetry(kind, execution, idempotent, sink.started(), attempts);
+        if (safe && withinBudget(kind)) {
             environment.metrics().counter("requests.retried").inc();
             retry(kind, detail, nowNs);
         } else {
@@ -308,6 +308,11 @@
         }
     }
 
+    /** A refusal by a leaving agent is rare and cheap, and must not fail a caller during a planned stop. */
+    private boolean withinBudget(ErrorKind kind) {
+        return kind == ErrorKind.SHUTTING_DOWN || environment.retryBudget().getAsBoolean();
+    }
+
     private void onDeadline() {
         Attempt current = attempt;
         if (current == null) {
@@ -386,7 +391,8 @@
                         environment.clockNs().getAsLong());
     }
 
-    private void fail(ErrorKind kind, String detail) {
+    private void fail(ErrorKind last, String detail) {
+        ErrorKind kind = knowledge.answer(last);
         sink.fail(kind, detail);
         environment.metrics().counter("requests.failed." + kind.label()).inc();
         finish(kind.label(), detail);
