--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/ExperimentPlacementCommand.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/ExperimentPlacementCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +15,7 @@
 import org.kingcuproad.experiment.placement.InputKind;
 import org.kingcuproad.experiment.placement.PlacementExperiment;
 import org.kingcuproad.experiment.placement.PlacementReport;
+import org.kingcuproad.experiment.placement.PlanTiming;
 import org.kingcuproad.experiment.placement.PolicyKind;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
@@ -27,7 +29,6 @@
 
     @Parameter(
             names = "--input",
-            required = true,
             description = "authority-season, wierzbicki-season, sudden-shift, alternating, flicker,"
                     + " straggler-constant, straggler-bursts or all")
     private String input = ALL;
@@ -44,9 +45,14 @@
     @Parameter(names = "--group", description = "today or large")
     private String group = GroupSize.TODAY.label();
 
-    @Parameter(names = "--out", required = true, description = "Directory for the CSV file and the plots")
+    @Parameter(names = "--out", description = "Directory for the CSV file and the plots")
     private Path out = Path.of(".");
 
+    @Parameter(
+            names = "--plan-runs",
+            description = "Time this many plans of the largest group instead of the experiment")
+    private int planRuns;
+
     @Override
     public String name() {
         return "experiment-placement";
@@ -54,6 +60,11 @@
 
     @Override
     public ExitCode run(PrintStream output, PrintStream errors) throws KingcuproadException {
+        if (planRuns > 0) {
+            PlanTiming.measure(planRuns, seed, ManagementFactory.getThreadMXBean()::getCurrentThreadCpuTime)
+                    .forEach(output::println);
+            return ExitCode.SUCCESS;
+        }
         GroupSize size = GroupSize.ofLabel(group).orElseThrow(() -> unknown("group", group));
         List<InputKind> inputs = select(input, InputKind::ofLabel, InputKind.values(), "input");
         List<PlacementReport> reports = new ArrayList<>();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/GainLedger.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/GainLedger.java
@@ -37,6 +37,10 @@
         lastSpentMs = nowMs;
     }
 
+    boolean hasSpent() {
+        return lostSeconds > 0;
+    }
+
     /** Returns the observed gain less the observed cost, in seconds of step time. */
     double balanceSeconds() {
         return savedSeconds - lostSeconds;
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerPlanner.java
@@ -77,19 +77,23 @@
     }
 
     static int distance(int[] from, int[] to) {
-        return (int) IntStream.range(0, from.length)
-                .filter(slot -> from[slot] != to[slot])
-                .count();
+        int distance = 0;
+        for (int slot = 0; slot < from.length; slot++) {
+            distance += from[slot] == to[slot] ? 0 : 1;
+        }
+        return distance;
     }
 
     private int[] replicaCounts(LayerSearch loads) {
         int[] replicas = new int[group.expertsPerLayer()];
         Arrays.fill(replicas, 1);
+        double[] mean = new double[replicas.length];
+        Arrays.setAll(mean, loads::meanLoad);
         int spare = group.ranks() * group.slotsPerRank() - replicas.length;
         for (; spare > 0; spare--) {
             int hottest = 0;
             for (int expert = 1; expert < replicas.length; expert++) {
-                if (loads.meanLoad(expert) * replicas[hottest] > loads.meanLoad(hottest) * replicas[expert]) {
+                if (mean[expert] * replicas[hottest] > mean[hottest] * replicas[expert]) {
                     hottest = expert;
                 }
             }
@@ -99,17 +103,17 @@
     }
 
     private boolean improveOnce(LayerSearch search) {
+        int[] donors = donors(search);
         for (int rank : search.heaviestRanks(TRIED_RANKS)) {
-            if (improveRank(search, rank)) {
+            if (improveRank(search, rank, donors)) {
                 return true;
             }
         }
         return false;
     }
 
-    private boolean improveRank(LayerSearch search, int rank) {
+    private boolean improveRank(LayerSearch search, int rank, int[] donors) {
         Candidate best = new Candidate();
-        int[] donors = donors(search);
         int first = rank * group.slotsPerRank();
         for (int slot = first; slot < first + group.slotsPerRank(); slot++) {
             trySwaps(search, slot, best);
@@ -148,20 +152,34 @@
             return;
         }
         for (int expert = 0; expert < group.expertsPerLayer(); expert++) {
-            if (expert != old && !search.holds(search.rankOf(slot), expert)) {
+            if (search.meanShare(expert) < search.meanShare(old) && !search.holds(search.rankOf(slot), expert)) {
                 best.offerReplace(search.replaceGain(slot, expert), slot, expert);
             }
         }
     }
 
     private int[] donors(LayerSearch search) {
-        return IntStream.range(0, group.expertsPerLayer())
-                .filter(expert -> search.replicas(expert) > 1)
-                .boxed()
-                .sorted(Comparator.comparingDouble(expert -> search.meanLoad(expert) / (search.replicas(expert) - 1)))
-                .limit(TRIED_DONORS)
-                .mapToInt(Integer::intValue)
-                .toArray();
+        int[] donors = new int[TRIED_DONORS];
+        double[] least = new double[TRIED_DONORS];
+        int found = 0;
+        for (int expert = 0; expert < group.expertsPerLayer(); expert++) {
+            if (search.replicas(expert) < 2) {
+                continue;
+            }
+            double cost = search.meanLoad(expert) / (search.replicas(expert) - 1);
+            int at = found < TRIED_DONORS ? found++ : TRIED_DONORS;
+            for (; at > 0 && cost < least[at - 1]; at--) {
+                if (at < TRIED_DONORS) {
+                    least[at] = least[at - 1];
+                    donors[at] = donors[at - 1];
+                }
+            }
+            if (at < TRIED_DONORS) {
+                least[at] = cost;
+                donors[at] = expert;
+            }
+        }
+        return Arrays.copyOf(donors, found);
     }
 
     private boolean canSwap(LayerSearch search, int slot, int other) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerSearch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/LayerSearch.java
@@ -23,6 +23,8 @@
     private final double[][] load;
     private final double[][] slowness;
     private final double[][] rankTime;
+    private final double[][] rankPower;
+    private final double[][] share;
     private final double[] delta;
     private final int[] touched;
     private final int[] stampOfRank;
@@ -35,7 +37,9 @@
         experts = group.expertsPerLayer();
         expertOfSlot = start.clone();
         replicas = new int[experts];
-        slotsOfExpert = new int[experts][start.length];
+        int[] counts = ExpertMap.count(start, experts);
+        slotsOfExpert = new int[experts][];
+        Arrays.setAll(slotsOfExpert, expert -> new int[counts[expert]]);
         positionOfSlot = new int[start.length];
         weight = scenarios.stream().mapToDouble(Scenario::weight).toArray();
         load = scenarios.stream()
@@ -43,6 +47,8 @@
                 .toArray(double[][]::new);
         slowness = scenarios.stream().map(Scenario::slowness).toArray(double[][]::new);
         rankTime = new double[weight.length][ranks];
+        rankPower = new double[weight.length][ranks];
+        share = new double[weight.length][experts];
         delta = new double[ranks];
         touched = new int[ranks];
         stampOfRank = new int[ranks];
@@ -60,7 +66,11 @@
     double objective() {
         double sum = 0;
         for (int k = 0; k < weight.length; k++) {
-            sum += weight[k] * Arrays.stream(rankTime[k]).max().orElse(0);
+            double slowest = 0;
+            for (double time : rankTime[k]) {
+                slowest = Math.max(slowest, time);
+            }
+            sum += weight[k] * slowest;
         }
         return sum;
     }
@@ -110,6 +120,11 @@
         return sum;
     }
 
+    /** Returns the expected load of one replica of an expert. */
+    double meanShare(int expert) {
+        return meanLoad(expert) / replicas[expert];
+    }
+
     boolean holds(int rank, int expert) {
         for (int slot = rank * slotsPerRank; slot < (rank + 1) * slotsPerRank; slot++) {
             if (expertOfSlot[slot] == expert) {
@@ -127,14 +142,14 @@
         int b = expertOfSlot[slotB];
         double change = 0;
         for (int k = 0; k < weight.length; k++) {
-            double shift = load[k][b] / replicas[b] - load[k][a] / replicas[a];
+            double shift = share[k][b] - share[k][a];
             double timeA = rankTime[k][rankA];
             double timeB = rankTime[k][rankB];
             change += weight[k]
                     * (power(timeA + shift * slowness[k][rankA])
-                            - power(timeA)
+                            - rankPower[k][rankA]
                             + power(timeB - shift * slowness[k][rankB])
-                            - power(timeB));
+                            - rankPower[k][rankB]);
         }
         return -change;
     }
@@ -147,7 +162,7 @@
             for (int i = 0; i < touchedCount; i++) {
                 int rank = touched[i];
                 double time = rankTime[k][rank];
-                change += weight[k] * (power(time + delta[rank] * slowness[k][rank]) - power(time));
+                change += weight[k] * (power(time + delta[rank] * slowness[k][rank]) - rankPower[k][rank]);
                 delta[rank] = 0;
             }
         }
@@ -174,9 +189,9 @@
         touchedCount = 0;
         stamp++;
         int old = expertOfSlot[slot];
-        double oldShare = load[k][old] / replicas[old];
+        double oldShare = share[k][old];
         double oldShareAfter = load[k][old] / (replicas[old] - 1);
-        double newShare = load[k][expert] / replicas[expert];
+        double newShare = share[k][expert];
         double newShareAfter = load[k][expert] / (replicas[expert] + 1);
         touch(rankOf(slot), newShareAfter - oldShareAfter);
         for (int i = 0; i < replicas[old]; i++) {
@@ -198,7 +213,7 @@
     private double potential(int rank) {
         double sum = 0;
         for (int k = 0; k < weight.length; k++) {
-            sum += weight[k] * power(rankTime[k][rank]);
+            sum += weight[k] * rankPower[k][rank];
         }
         return sum;
     }
@@ -206,6 +221,9 @@
     private void link(int slot, int expert) {
         expertOfSlot[slot] = expert;
         positionOfSlot[slot] = replicas[expert];
+        if (replicas[expert] == slotsOfExpert[expert].length) {
+            slotsOfExpert[expert] = Arrays.copyOf(slotsOfExpert[expert], 2 * replicas[expert] + 1);
+        }
         slotsOfExpert[expert][replicas[expert]++] = slot;
     }
 
@@ -219,11 +237,18 @@
     private void recompute() {
         for (int k = 0; k < weight.length; k++) {
             double[] times = rankTime[k];
+            double[] shares = share[k];
+            for (int expert = 0; expert < experts; expert++) {
+                shares[expert] = load[k][expert] / replicas[expert];
+            }
             Arrays.fill(times, 0);
             for (int slot = 0; slot < expertOfSlot.length; slot++) {
                 int expert = expertOfSlot[slot];
                 int rank = slot / slotsPerRank;
-                times[rank] += load[k][expert] / replicas[expert] * slowness[k][rank];
+                times[rank] += shares[expert] * slowness[k][rank];
+            }
+            for (int rank = 0; rank < ranks; rank++) {
+                rankPower[k][rank] = power(times[rank]);
             }
         }
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementController.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/placement/PlacementController.java
@@ -18,8 +18,8 @@
     private static final int MOST_LOST_PIECES = 2;
 
     /**
-     * Factor on the least improvement while observed gains do not cover the cost of moves. With a factor of 1, changes
-     * of one or two experts cost 0.05 % of the steps in groups whose first map was already the best one.
+     * Factor on the least improvement of the first plan, which no observed gain covers. With a factor of 1, changes of
+     * one or two experts cost 0.05 % of the steps in groups whose first map was already the best one.
      */
     private static final double UNPROVEN_CAUTION = 3;
 
@@ -144,7 +144,7 @@
             return new PlacementDecision.Keep(KeepReason.PLANNED_RECENTLY);
         }
         nextPlanMs = nowMs + tuning.planIntervalSeconds() * 1000L;
-        PlacementPlan plan = planner.plan(map, outlook, ledger.balanceSeconds() > 0 ? 1 : UNPROVEN_CAUTION);
+        PlacementPlan plan = planner.plan(map, outlook, ledger.hasSpent() ? 1 : UNPROVEN_CAUTION);
         if (plan.isEmpty()) {
             return new PlacementDecision.Keep(KeepReason.NO_PAYBACK);
         }
