Learn all incarnations in one round of a rank's questions

Cause: each changed incarnation began a new round at once, so a group of n ranks that starts together sent a number of questions that grows with the cube of n. A rank that joined while another had a pending switch kept asking in the same way.

Change: an answer "other incarnation" counts if its question named the incarnation known now; the next round is asked when all answers of the last one are in, or after the ask interval.

Conclusion: rounds grow with the restarts, not with the ranks.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/PeerState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/PeerState.java
@@ -28,7 +28,27 @@
      */
     record Status(
             @Nullable SwitchId pending, @Nullable SwitchId committed, long baseMap, long closedStep, long highestFence)
-            implements PeerState {}
+            implements PeerState {
+
+        /**
+         * Joins what two ranks know. The later commit counts with the map before it; without one, the greater map does.
+         *
+         * @param other what another rank told
+         * @return what both know, without a pending switch
+         */
+        Status merge(Status other) {
+            boolean known = committed != null || other.committed != null;
+            long mine = committed == null ? 0 : committed.step();
+            long theirs = other.committed == null ? 0 : other.committed.step();
+            Status last = mine >= theirs ? this : other;
+            return new Status(
+                    null,
+                    last.committed,
+                    known ? last.baseMap : Math.max(baseMap, other.baseMap),
+                    Math.max(closedStep, other.closedStep),
+                    Math.max(highestFence, other.highestFence));
+        }
+    }
 
     /**
      * The query named an incarnation that this rank does not have.
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/RankSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/mapswitch/RankSwitch.java
@@ -1,7 +1,7 @@
 package org.kingcuproad.policy.mapswitch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,26 +26,11 @@
     /** Time after which unanswered questions are asked again, in milliseconds. */
     public static final long ASK_INTERVAL_MS = 200;
 
-    private enum Phase {
-        /** The engine is being stopped after a start. */
-        FREEZING,
-        /** The others are asked what they settled. */
-        JOINING,
-        /** No switch is pending. */
-        IDLE,
-        /** The engine loads weights or sets the hold. */
-        PREPARING,
-        /** Promised; the coordinator may still commit. */
-        PROMISED,
-        /** Promised; only the ranks decide. */
-        SETTLING
-    }
-
     private final int rank;
     private final GroupView view;
     private final List<RankEffect> effects = new ArrayList<>();
     private final Map<Integer, PeerState> replies = new HashMap<>();
-    private Phase phase = Phase.FREEZING;
+    private RankPhase phase = RankPhase.FREEZING;
     private @Nullable PrepareMap pending;
     private @Nullable SwitchId committed;
     private long baseMap;
@@ -54,9 +39,14 @@
     private long highestFence;
     private long round;
     private long askAtMs;
+    private final long[] changedRound;
+    private final BitSet outstanding = new BitSet();
+    private long askedRound;
     private boolean probing;
     /** Also ask ranks that answered: one of them may have restarted since, which another rank has noticed already. */
     private boolean askAll;
+    /** All others answered, but one has not settled; a rank that joins asks them all again. */
+    private boolean roundOver;
 
     /**
      * Creates a rank that has to join its group.
@@ -68,6 +58,7 @@
     public RankSwitch(int ranks, int rank, long incarnation) {
         this.rank = rank;
         this.view = new GroupView(ranks, rank, incarnation);
+        this.changedRound = new long[ranks];
     }
 
     /**
@@ -88,11 +79,11 @@
      * @return what to carry out
      */
     public List<RankEffect> engineFrozen(long engineMap, long nowMs) {
-        if (phase == Phase.FREEZING) {
+        if (phase == RankPhase.FREEZING) {
             baseMap = engineMap;
-            phase = Phase.JOINING;
+            phase = RankPhase.JOINING;
             startRound(nowMs);
-            evaluate(nowMs);
+            evaluate();
         }
         return take();
     }
@@ -105,19 +96,19 @@
      * @return what to carry out
      */
     public List<RankEffect> prepare(PrepareMap request, long nowMs) {
-        replacePreparing(request);
+        dropUnpromisedOfLowerFence(request);
         Optional<String> refusal = refusalOf(request);
         highestFence = Math.max(highestFence, request.fence());
         if (refusal.isPresent()) {
             effects.add(new RankEffect.AnswerPrepare(request.id(), false, refusal.get(), highestFence));
-            if (phase == Phase.PROMISED && pending != null && request.fence() > pending.fence()) {
+            if (phase == RankPhase.PROMISED && pending != null && request.fence() > pending.fence()) {
                 settleAmongRanks(nowMs);
             }
-        } else if (phase == Phase.IDLE) {
+        } else if (phase == RankPhase.IDLE) {
             pending = request;
-            phase = Phase.PREPARING;
+            phase = RankPhase.PREPARING;
             effects.add(new RankEffect.LoadEngine(request.fence(), request.id()));
-        } else if (phase != Phase.PREPARING) {
+        } else if (phase != RankPhase.PREPARING) {
             effects.add(new RankEffect.AnswerPrepare(request.id(), true, "", highestFence));
         }
         return take();
@@ -131,7 +122,7 @@
      */
     public List<RankEffect> engineLoaded(SwitchId id) {
         PrepareMap request = pending;
-        if (phase == Phase.PREPARING && request != null && request.id().equals(id)) {
+        if (phase == RankPhase.PREPARING && request != null && request.id().equals(id)) {
             effects.add(new RankEffect.HoldEngine(request.fence(), id));
         }
         return take();
@@ -146,24 +137,23 @@
      */
     public List<RankEffect> engineRefused(SwitchId id, long engineFence) {
         highestFence = Math.max(highestFence, engineFence);
-        if (phase == Phase.PREPARING && pending != null && pending.id().equals(id)) {
+        if (phase == RankPhase.PREPARING && pending != null && pending.id().equals(id)) {
             refusePending("the engine saw a higher fencing token");
         }
         return take();
     }
 
     /**
-     * Notes the result of a hold. The promise is given here and not earlier: without the hold the engine would start
-     * the step on its own.
+     * Notes the result of a hold. A promise needs it: without the hold the engine would start the step on its own.
      *
      * @param id the switch
      * @param held whether the hold is set; {@code false} if the step has begun
      * @return what to carry out
      */
     public List<RankEffect> engineHeld(SwitchId id, boolean held) {
-        if (phase == Phase.PREPARING && pending != null && pending.id().equals(id)) {
+        if (phase == RankPhase.PREPARING && pending != null && pending.id().equals(id)) {
             if (held) {
-                phase = Phase.PROMISED;
+                phase = RankPhase.PROMISED;
                 effects.add(new RankEffect.AnswerPrepare(id, true, "", highestFence));
             } else {
                 refusePending("the step has begun");
@@ -180,7 +170,7 @@
      * @return what to carry out
      */
     public List<RankEffect> engineAtHold(long step, long nowMs) {
-        if (phase == Phase.PROMISED && pending != null && pending.id().step() == step) {
+        if (phase == RankPhase.PROMISED && pending != null && pending.id().step() == step) {
             settleAmongRanks(nowMs);
         }
         return take();
@@ -209,11 +199,11 @@
             return take();
         }
         boolean valid = settle.commit() && settle.view() == request.view() && settle.view() == view.hash();
-        if (phase == Phase.PREPARING && !settle.commit()) {
+        if (phase == RankPhase.PREPARING && !settle.commit()) {
             refusePending("the coordinator gave up");
-        } else if (phase == Phase.PROMISED && valid) {
+        } else if (phase == RankPhase.PROMISED && valid) {
             commit(request.fence(), request.id());
-        } else if (phase == Phase.PROMISED) {
+        } else if (phase == RankPhase.PROMISED) {
             settleAmongRanks(nowMs);
         }
         return take();
@@ -240,17 +230,24 @@
      * @return what to carry out
      */
     public List<RankEffect> reply(PeerReply reply, long nowMs) {
-        if (reply.view() != view.hash() || reply.round() != round) {
-            return take();
+        if (reply.round() == askedRound) {
+            outstanding.clear(reply.from());
         }
         if (reply.state() instanceof PeerState.OtherIncarnation other) {
-            changeView(reply.from(), other.incarnation(), nowMs);
+            // The query named the incarnation that is known now, so the one that answered is newer.
+            if (reply.round() >= changedRound[reply.from()]) {
+                changeView(reply.from(), other.incarnation());
+            }
+        } else if (reply.view() != view.hash() || reply.round() != round) {
+            askWhenAllAnswered(nowMs);
+            return take();
         } else if (reply.state() instanceof PeerState.OtherView) {
             askAll = true;
         } else {
             replies.put(reply.from(), reply.state());
-            evaluate(nowMs);
+            evaluate();
         }
+        askWhenAllAnswered(nowMs);
         return take();
     }
 
@@ -262,6 +259,10 @@
      */
     public List<RankEffect> tick(long nowMs) {
         if (asking() && nowMs >= askAtMs) {
+            if (roundOver) {
+                replies.clear();
+                round++;
+            }
             ask(nowMs);
         }
         return take();
@@ -273,7 +274,7 @@
      * @return {@code true} if the rank has joined and settled everything
      */
     public boolean idle() {
-        return phase == Phase.IDLE;
+        return phase == RankPhase.IDLE;
     }
 
     /**
@@ -294,10 +295,9 @@
         return view.hash();
     }
 
-    /** Drops what an older coordinator asked for, as long as it is not promised. */
-    private void replacePreparing(PrepareMap request) {
+    private void dropUnpromisedOfLowerFence(PrepareMap request) {
         PrepareMap before = pending;
-        if (phase == Phase.PREPARING
+        if (phase == RankPhase.PREPARING
                 && before != null
                 && request.fence() > before.fence()
                 && !request.id().equals(before.id())) {
@@ -318,7 +318,7 @@
                     ? Optional.empty()
                     : Optional.of("another switch is pending");
         }
-        if (phase != Phase.IDLE) {
+        if (phase != RankPhase.IDLE) {
             return Optional.of("the rank is joining");
         }
         if (committed != null && begunStep < committed.step()) {
@@ -336,7 +336,7 @@
         if (query.incarnation() != view.incarnation(rank)) {
             return new PeerState.OtherIncarnation(view.incarnation(rank));
         }
-        if (phase == Phase.FREEZING) {
+        if (phase == RankPhase.FREEZING) {
             return new PeerState.OtherView();
         }
         if (query.view() != view.hash()) {
@@ -345,8 +345,7 @@
         }
         SwitchId id = query.id();
         if (id == null) {
-            boolean promised = phase == Phase.PROMISED || phase == Phase.SETTLING;
-            SwitchId open = promised && pending != null ? pending.id() : null;
+            SwitchId open = pending != null && phase != RankPhase.PREPARING ? pending.id() : null;
             return new PeerState.Status(open, committed, baseMap, closedStep, highestFence);
         }
         return voteFor(id, nowMs);
@@ -359,10 +358,10 @@
         }
         PrepareMap request = pending;
         if (request != null && request.id().equals(id)) {
-            if (phase == Phase.PROMISED) {
+            if (phase == RankPhase.PROMISED) {
                 settleAmongRanks(nowMs);
             }
-            if (phase == Phase.SETTLING) {
+            if (phase == RankPhase.SETTLING) {
                 return new PeerState.Promised();
             }
             refusePending("another rank asked first");
@@ -374,28 +373,34 @@
 
     private void refusePending(String reason) {
         PrepareMap request = Objects.requireNonNull(pending);
-        closedStep = Math.max(closedStep, request.id().step());
-        effects.add(new RankEffect.AbortEngine(request.fence()));
+        abort(request);
         effects.add(new RankEffect.AnswerPrepare(request.id(), false, reason, highestFence));
-        pending = null;
-        phase = Phase.IDLE;
     }
 
     private void settleAmongRanks(long nowMs) {
-        phase = Phase.SETTLING;
+        phase = RankPhase.SETTLING;
         startRound(nowMs);
-        evaluate(nowMs);
+        evaluate();
     }
 
-    private void changeView(int changedRank, long incarnation, long nowMs) {
+    /** Begins a new round, which is asked when the answers of the last one are in: they may change the view further. */
+    private void changeView(int changedRank, long incarnation) {
         view.update(changedRank, incarnation);
-        if (phase == Phase.PREPARING) {
+        if (phase == RankPhase.PREPARING) {
             refusePending("the incarnations of the ranks have changed");
         }
-        if (phase == Phase.PROMISED) {
-            phase = Phase.SETTLING;
+        if (phase == RankPhase.PROMISED) {
+            phase = RankPhase.SETTLING;
+        }
+        replies.clear();
+        round += round == askedRound ? 1 : 0;
+        changedRound[changedRank] = round;
+    }
+
+    private void askWhenAllAnswered(long nowMs) {
+        if (round != askedRound && outstanding.isEmpty() && asking()) {
+            ask(nowMs);
         }
-        startRound(nowMs);
     }
 
     private void probe(long nowMs) {
@@ -408,7 +413,7 @@
     }
 
     private boolean asking() {
-        return phase == Phase.JOINING || phase == Phase.SETTLING || probing;
+        return phase == RankPhase.JOINING || phase == RankPhase.SETTLING || probing;
     }
 
     private void startRound(long nowMs) {
@@ -418,26 +423,29 @@
     }
 
     private void ask(long nowMs) {
-        SwitchId id = phase == Phase.SETTLING && pending != null ? pending.id() : null;
+        SwitchId id = phase == RankPhase.SETTLING && pending != null ? pending.id() : null;
         for (int peer = 0; peer < view.ranks(); peer++) {
             if (peer != rank && (askAll || !replies.containsKey(peer))) {
+                outstanding.set(peer);
                 effects.add(
                         new RankEffect.Ask(peer, new PeerQuery(rank, view.hash(), view.incarnation(peer), round, id)));
             }
         }
         askAll = false;
+        roundOver = false;
+        askedRound = round;
         askAtMs = nowMs + ASK_INTERVAL_MS;
     }
 
-    private void evaluate(long nowMs) {
+    private void evaluate() {
         if (replies.size() < view.ranks() - 1) {
             return;
         }
         probing = false;
         PrepareMap request = pending;
-        if (phase == Phase.JOINING) {
-            join(nowMs);
-        } else if (phase == Phase.SETTLING && request != null) {
+        if (phase == RankPhase.JOINING) {
+            join();
+        } else if (phase == RankPhase.SETTLING && request != null) {
             boolean anyCommitted = replies.containsValue(new PeerState.Committed());
             boolean allPromised = replies.values().stream().allMatch(PeerState.Promised.class::isInstance);
             if (anyCommitted || allPromised) {
@@ -448,27 +456,22 @@
         }
     }
 
-    private void join(long nowMs) {
+    private void join() {
         List<PeerState.Status> peers = replies.values().stream()
                 .filter(PeerState.Status.class::isInstance)
                 .map(PeerState.Status.class::cast)
                 .toList();
         if (peers.stream().anyMatch(peer -> peer.pending() != null)) {
-            replies.clear();
-            round++;
-            askAtMs = nowMs + ASK_INTERVAL_MS;
+            roundOver = true;
             return;
         }
-        long greatestMap = peers.stream().mapToLong(PeerState.Status::baseMap).reduce(baseMap, Math::max);
-        Optional<PeerState.Status> last = peers.stream()
-                .filter(peer -> peer.committed() != null)
-                .max(Comparator.comparingLong(
-                        peer -> Objects.requireNonNull(peer.committed()).step()));
-        committed = last.map(PeerState.Status::committed).orElse(null);
-        baseMap = last.map(PeerState.Status::baseMap).orElse(greatestMap);
-        closedStep = peers.stream().mapToLong(PeerState.Status::closedStep).reduce(closedStep, Math::max);
-        highestFence = peers.stream().mapToLong(PeerState.Status::highestFence).reduce(highestFence, Math::max);
-        phase = Phase.IDLE;
+        PeerState.Status group = peers.stream()
+                .reduce(new PeerState.Status(null, null, baseMap, closedStep, highestFence), PeerState.Status::merge);
+        committed = group.committed();
+        baseMap = group.baseMap();
+        closedStep = group.closedStep();
+        highestFence = group.highestFence();
+        phase = RankPhase.IDLE;
         effects.add(new RankEffect.JoinEngine(baseMap, committed));
     }
 
@@ -477,14 +480,14 @@
         committed = id;
         closedStep = Math.max(closedStep, id.step());
         pending = null;
-        phase = Phase.IDLE;
+        phase = RankPhase.IDLE;
         effects.add(new RankEffect.SwitchEngine(fence, id));
     }
 
     private void abort(PrepareMap request) {
         closedStep = Math.max(closedStep, request.id().step());
         pending = null;
-        phase = Phase.IDLE;
+        phase = RankPhase.IDLE;
         effects.add(new RankEffect.AbortEngine(request.fence()));
     }
 
