--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/mapswitch/RankSwitchScheduleTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/mapswitch/RankSwitchScheduleTest.java
@@ -95,6 +95,18 @@
         assertThat(ended).isTrue();
     }
 
+    @Test
+    void aGroupOf128RanksSettlesWithoutItsCoordinator() {
+        GroupWorld world = new GroupWorld(128, List.of(new SwitchId(2, 2)), 1, 2, GroupWorld.Weakness.NONE);
+        List.copyOf(world.mail).forEach(world::deliver);
+        world.mail.clear();
+        world.crash(5, false);
+        boolean ended = world.ends(60);
+        assertThat(world.wrong).isNull();
+        assertThat(ended).isTrue();
+        assertThat(world.engines[0].begunMap).isEqualTo(GroupWorld.OLD_MAP);
+    }
+
     private static void deliverAll(GroupWorld world, Predicate<GroupWorld.Mail> except) {
         for (int i = 0; i < 20; i++) {
             List.copyOf(world.mail).stream().filter(except.negate()).forEach(world::deliver);
