Give the abandonment test a plan of several pieces

Cause: the plan of the test fitted one piece, so it never reached the abandonment and was listed as red.

--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/placement/PlacementControllerTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/placement/PlacementControllerTest.java
@@ -65,7 +65,7 @@
     void aPlanThatDriftOvertookIsAbandoned() {
         ModelGroup large = ControllerHarness.group(16, 8, 32, 4);
         ControllerHarness harness =
-                new ControllerHarness(large, 1, 0.02, new PlacementTuning(0.1, 0.6, 5, 60, 200, 180, 0.01, 2));
+                new ControllerHarness(large, 1, 0.02, new PlacementTuning(0.1, 0.6, 1, 60, 200, 180, 0.01, 2));
         double[] speed = ControllerHarness.evenSpeed(large);
         while (harness.pieces.isEmpty()) {
             harness.run(1, ControllerHarness.load(large, 0), speed, 0);
