--- a/kingcuproad-entry/src/main/java/org/kingcuproad/entry/coordinator/MapCoordinator.java
+++ b/kingcuproad-entry/src/main/java/org/kingcuproad/entry/coordinator/MapCoordinator.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +46,8 @@
     private final MapPlanSource source;
     private final Map<Integer, LeaseTask> leases = new HashMap<>();
     private final Map<String, GroupTask> groups = new HashMap<>();
+    private Map<String, InetSocketAddress> agents = Map.of();
+    private Map<String, InetSocketAddress> connected = Map.of();
     private @Nullable ScheduledFuture<?> ticks;
 
     /**
@@ -97,10 +100,12 @@
         members.forEach((group, upstreams) -> groups.computeIfAbsent(
                 group, added -> new GroupTask(group, upstreams, links, records, source, eventLoop, clockMs)));
         groups.keySet().forEach(group -> leases.computeIfAbsent(shard(group), this::lease));
-        List<Upstream> ranks = document.upstreams().stream()
-                .filter(upstream -> members.containsKey(upstream.group()))
-                .toList();
-        links.update(UpstreamDirectory.addresses(ranks, addresses));
+        agents = UpstreamDirectory.addresses(
+                document.upstreams().stream()
+                        .filter(upstream -> members.containsKey(upstream.group()))
+                        .toList(),
+                addresses);
+        connect();
     }
 
     /**
@@ -124,10 +129,26 @@
 
     private void tick() {
         leases.values().forEach(LeaseTask::tick);
+        connect();
         groups.forEach((group, task) ->
                 task.tick(Objects.requireNonNull(leases.get(shard(group))).token()));
     }
 
+    /** Connects to the ranks of the groups whose lease is held or whose switch is under way, and to no others. */
+    private void connect() {
+        Map<String, InetSocketAddress> wanted = new HashMap<>(agents);
+        wanted.keySet()
+                .retainAll(groups.entrySet().stream()
+                        .filter(group -> !group.getValue().idle()
+                                || token(group.getKey()).isPresent())
+                        .flatMap(group -> group.getValue().upstreams().stream())
+                        .collect(Collectors.toSet()));
+        if (!wanted.equals(connected)) {
+            connected = wanted;
+            links.update(wanted);
+        }
+    }
+
     private LeaseTask lease(int shard) {
         return new LeaseTask(store, eventLoop, clockMs, "leases/" + scope + "/" + shard, holderId);
     }
