--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/load/LoadRequest.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/load/LoadRequest.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.Locale;
+import java.net.ConnectException;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import org.asynchttpclient.AsyncHandler;
@@ -137,8 +137,11 @@
     }
 
     private static String failureKind(Throwable failure) {
-        return failure instanceof TimeoutException
-                ? "timeout"
-                : failure.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        return switch (failure) {
+            case TimeoutException timeout -> "timeout";
+            case ConnectException refused -> "connect-failed";
+            case IOException lost -> "connection-lost";
+            default -> failure.getClass().getSimpleName();
+        };
     }
 }
--- a/kingcuproad-ctl/src/test/java/org/kingcuproad/ctl/load/LoadRunTest.java
+++ b/kingcuproad-ctl/src/test/java/org/kingcuproad/ctl/load/LoadRunTest.java
@@ -39,15 +39,27 @@
         assertThat(incomplete).isEqualTo(summary.due()).isPositive();
     }
 
+    @Test
+    void everyRefusedConnectionIsAnError() throws Exception {
+        EngineStandIn engine = EngineStandIn.start(eventLoops, EngineSettings.of("127.0.0.1", 0));
+        engine.close();
+        LoadSummary summary = runAgainst(engine.port());
+        assertThat(summary.errors()).containsOnlyKeys("connect-failed").containsValue(summary.due());
+        assertThat(summary.faultless()).isFalse();
+    }
+
     private LoadSummary run(EngineSettings engineSettings) throws Exception {
         EngineStandIn engine = EngineStandIn.start(eventLoops, engineSettings);
         try {
-            String target = "http://127.0.0.1:" + engine.port();
-            return new LoadRun(new LoadSettings(
-                            target, "", "", "m", TOKENS, true, 50, 0, Duration.ZERO, Duration.ofMillis(500)))
-                    .run();
+            return runAgainst(engine.port());
         } finally {
             engine.close();
         }
     }
+
+    private static LoadSummary runAgainst(int port) throws InterruptedException {
+        Duration duration = Duration.ofMillis(500);
+        String target = "http://127.0.0.1:" + port;
+        return new LoadRun(new LoadSettings(target, "", "", "m", TOKENS, true, 50, 0, Duration.ZERO, duration)).run();
+    }
 }
