Choose relays by the shared rendezvous hash

Cause: RelayChoice held a second implementation of rendezvous hashing beside RendezvousHash. Change: it calls RendezvousHash.pick. Other relays than before may be chosen, always two and the same for every process of this version; while versions are mixed, extra relays are harmless. Conclusion: one implementation less.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/revision/RelayChoice.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/revision/RelayChoice.java
@@ -1,9 +1,8 @@
 package org.kingcuproad.policy.revision;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
-import net.openhft.hashing.LongHashFunction;
+import org.kingcuproad.policy.membership.RendezvousHash;
 
 /**
  * Chooses the relays of a data centre by rendezvous hashing. Processes with different lists of entries may choose
@@ -14,8 +13,6 @@
     /** Relays of a data centre: one may die without a gap. */
     public static final int RELAYS = 2;
 
-    private static final LongHashFunction HASH = LongHashFunction.xx3(6);
-
     private RelayChoice() {}
 
     /**
@@ -27,12 +24,6 @@
      * @return at most {@link #RELAYS} names, the preferred one first
      */
     public static List<String> choose(String environment, String dataCentre, Collection<String> liveEntries) {
-        String prefix = environment + '/' + dataCentre + '/';
-        return liveEntries.stream()
-                .distinct()
-                .sorted(Comparator.comparingLong((String entry) -> HASH.hashChars(prefix + entry))
-                        .thenComparing(Comparator.naturalOrder()))
-                .limit(RELAYS)
-                .toList();
+        return RendezvousHash.pick(environment + '/' + dataCentre, liveEntries, RELAYS);
     }
 }
