--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -0,0 +1,459 @@
+package org.kingcuproad.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.gateway.ClientLimits;
+import org.kingcuproad.policy.gateway.GatewayConfiguration;
+import org.kingcuproad.policy.gateway.GatewayRoute;
+import org.kingcuproad.policy.gateway.KeyHolder;
+import org.kingcuproad.policy.gateway.ServiceProfile;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.gateway.WindowedBudget;
+import org.kingcuproad.runtime.log.DecisionLog;
+
+/**
+ * A gateway: takes requests of clients and sends each to an upstream of its route's service.
+ *
+ * <p>One event loop owns all sockets and state.
+ */
+public final class Gateway {
+
+    /** Deadlines and limits are checked this often; clients allow for differences of half a second. */
+    private static final long SWEEP_MS = 25;
+
+    /** Other gateways learn of this one's requests after at most this time. */
+    private static final long TELL_PEERS_MS = 50;
+
+    /** Upstreams are less than a few milliseconds away; a VM without power never answers. */
+    private static final int CONNECT_TIMEOUT_MS = 250;
+
+    private static final int ACCEPT_BACKLOG = 1_024;
+    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+    private static final int CHUNK_BYTES = 8_192;
+
+    /** Knowledge older than this may miss a route or key that exists, so its absence is no reason for a 4xx. */
+    private static final long CERTAIN_AGE_MS = 2_500;
+
+    /** A suspended VM stops the steady clock; a larger difference of both clocks means that it was suspended. */
+    private static final long SUSPENDED_MS = 700;
+
+    /**
+     * Gateways among which the slack of the retry budget is divided. It is more than the users run, because a gateway
+     * does not know for certain how many there are.
+     */
+    private static final int BUDGET_SHARERS = 20;
+
+    /** The platform's balancer asks each second and takes a gateway out after two misses. */
+    private static final long BALANCER_NOTICE_MS = 2_300;
+
+    /** New requests are accepted for this long after the stop was asked for. */
+    private static final long ACCEPT_WHILE_LEAVING_MS = 4_000;
+
+    /** Time kept between the last answer and the end of the grace period. */
+    private static final long STOP_RESERVE_MS = 600;
+
+    private final GatewaySettings settings;
+    private final GatewayDialect dialect;
+    private final EventLoop eventLoop;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final Knowledge knowledge;
+    private final KindFollower<GatewayConfiguration> configurationFollower;
+    private final KindFollower<UpstreamEntry> upstreamFollower;
+    private final PeerLoads peerLoads = new PeerLoads();
+    private final PeerLink peerLink;
+    private final PeerDirectory peerDirectory;
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final Map<String, ServicePlaces> services = new HashMap<>();
+    private final Set<ClientConnection> connections = new HashSet<>();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private @Nullable Channel listener;
+    private long lastSweepSteadyMs;
+    private long lastSweepWallMs;
+    private long leavingSinceMs = -1;
+    private boolean lastReady;
+
+    /**
+     * Creates a gateway that does nothing yet.
+     *
+     * @param settings settings
+     * @param dialect words of the surroundings
+     * @param eventLoops a group with one event loop
+     * @param clock clocks of the VM
+     * @param log log of the process
+     */
+    public Gateway(
+            GatewaySettings settings, GatewayDialect dialect, EventLoopGroup eventLoops, Clock clock, DecisionLog log) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.eventLoop = eventLoops.next();
+        this.clock = clock;
+        this.log = log;
+        this.knowledge = new Knowledge(log, clock, settings, this::onKnowledgeChanged);
+        this.configurationFollower = new KindFollower<>(
+                dialect.configuration(),
+                eventLoop,
+                clock,
+                settings.storeAddress(),
+                knowledge.configurationListener(),
+                log);
+        this.upstreamFollower = new KindFollower<>(
+                dialect.upstreams(), eventLoop, clock, settings.storeAddress(), knowledge.upstreamListener(), log);
+        this.peerLink = new PeerLink(log, settings.name(), peerLoads, clock);
+        this.peerDirectory = new PeerDirectory(eventLoop, dialect.gateways(), settings, peerLoads, clock, log);
+    }
+
+    /** Starts to listen and to follow the store. */
+    public void start() {
+        eventLoop.execute(() -> {
+            lastSweepSteadyMs = clock.steadyMs();
+            lastSweepWallMs = clock.wallMs();
+            listen();
+            StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness);
+            StatusServer.listen(
+                    eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render()));
+            peerLink.open(eventLoop, settings.peerAddress());
+            configurationFollower.start();
+            upstreamFollower.start();
+            peerDirectory.start();
+            eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+            eventLoop.scheduleWithFixedDelay(
+                    () -> peerLink.send(this::ownLoads), TELL_PEERS_MS, TELL_PEERS_MS, TimeUnit.MILLISECONDS);
+            log.event("gateway started")
+                    .field("name", settings.name())
+                    .field("dataCentre", settings.dataCentre())
+                    .write();
+        });
+    }
+
+    /**
+     * Leaves: asks for no new clients, finishes what runs and stops within the grace period.
+     *
+     * @return completes when the process may end
+     */
+    public CompletableFuture<Void> leave() {
+        eventLoop.execute(() -> {
+            if (leavingSinceMs < 0) {
+                leavingSinceMs = clock.steadyMs();
+                log.event("gateway leaving")
+                        .field("connections", connections.size())
+                        .write();
+            }
+        });
+        return stopped;
+    }
+
+    private void listen() {
+        listener = new ServerBootstrap()
+                .group(eventLoop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel opened) {
+                        initClient(opened);
+                    }
+                })
+                .bind(settings.clientAddress())
+                .channel();
+    }
+
+    private void initClient(Channel opened) {
+        ClientLimits limits = knowledge.limits();
+        ClientConnection connection = new ClientConnection(this, opened, limits);
+        connections.add(connection);
+        opened.pipeline()
+                .addLast(
+                        new ChannelInboundHandlerAdapter() {
+                            @Override
+                            public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+                                connection.onBytes();
+                                super.channelRead(context, message);
+                            }
+                        },
+                        new HttpServerCodec(
+                                Math.max(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes()),
+                                limits.maxHeaderBytes(),
+                                CHUNK_BYTES),
+                        connection);
+    }
+
+    /** Opens a connection to an upstream for an attempt. */
+    void connect(Upstream upstream, Attempt attempt, BiConsumer<Attempt, UpstreamLink> onOpen) {
+        UpstreamLink link = new UpstreamLink(upstream, clock, names().requestId());
+        metrics.count("upstream_connections_opened");
+        new Bootstrap()
+                .group(eventLoop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel opened) {
+                        opened.pipeline().addLast(new HttpClientCodec(), link);
+                    }
+                })
+                .connect(upstream.entry().host(), upstream.entry().port())
+                .addListener((ChannelFutureListener) future -> {
+                    if (future.isSuccess()) {
+                        onOpen.accept(attempt, link);
+                    } else {
+                        attempt.onBroken("connection failed: " + future.cause());
+                    }
+                });
+    }
+
+    /** Runs a step after the current one. */
+    void later(Runnable step) {
+        eventLoop.execute(step);
+    }
+
+    GatewaySettings settings() {
+        return settings;
+    }
+
+    HeaderNames names() {
+        return dialect.headers();
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    PeerLoads peerLoads() {
+        return peerLoads;
+    }
+
+    boolean leaving() {
+        return leavingSinceMs >= 0;
+    }
+
+    private StatusServer.Status readiness() {
+        boolean ready = knowledge.ready() && !leaving();
+        return new StatusServer.Status(ready, ready ? "ready\n" : "not ready\n");
+    }
+
+    private void onKnowledgeChanged() {
+        Map<String, List<UpstreamEntry>> byService = new HashMap<>();
+        knowledge.upstreams().forEach(entry -> byService
+                .computeIfAbsent(entry.service(), unused -> new ArrayList<>())
+                .add(entry));
+        byService.keySet().forEach(this::places);
+        services.forEach((service, places) -> places.update(byService.getOrDefault(service, List.of())));
+    }
+
+    private ServicePlaces places(String service) {
+        return services.computeIfAbsent(service, name -> {
+            boolean engine = knowledge
+                    .configuration()
+                    .map(current -> current.services().get(name))
+                    .map(ServiceProfile::engine)
+                    .orElse(false);
+            WindowedBudget budget = new WindowedBudget(
+                    settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack() / BUDGET_SHARERS);
+            return new ServicePlaces(this, name, engine, budget);
+        });
+    }
+
+    private Map<String, PeerLoads.Load> ownLoads() {
+        Map<String, PeerLoads.Load> loads = new HashMap<>();
+        services.values().stream()
+                .flatMap(places -> places.upstreams().stream())
+                .filter(upstream -> upstream.inFlight() > 0)
+                .forEach(upstream -> loads.put(
+                        upstream.entry().id(), new PeerLoads.Load(upstream.inFlight(), upstream.unreadTokens())));
+        return loads;
+    }
+
+    /** Takes a whole request. The body is released by the request's end. */
+    void onRequest(ClientConnection connection, HttpRequest head, ByteBuf body) {
+        metrics.count("requests");
+        String requestId = head.headers().get(names().requestId());
+        RequestCheck.Result result = RequestCheck.check(
+                head, names(), knowledge, CERTAIN_AGE_MS, ThreadLocalRandom.current().nextDouble());
+        switch (result) {
+            case RequestCheck.Refused refused -> {
+                body.release();
+                refuseUnrouted(connection, requestId, refused);
+            }
+            case RequestCheck.Assigned assigned -> {
+                Exchange exchange = new Exchange(
+                        connection,
+                        head,
+                        body,
+                        Optional.ofNullable(requestId).orElse(""),
+                        clock.steadyMs(),
+                        assigned.assignment(),
+                        assigned.promptTokens(),
+                        assigned.waitMs());
+                connection.setExchange(exchange);
+                places(assigned.assignment().service()).submit(exchange);
+            }
+        }
+    }
+
+    private void refuseUnrouted(ClientConnection connection, @Nullable String requestId, RequestCheck.Refused refused) {
+        metrics.count("refused_" + refused.kind().label());
+        log.event("request refused")
+                .field("request", String.valueOf(requestId))
+                .field("kind", refused.kind().label())
+                .field("reason", refused.reason())
+                .field("configurationAgeMs", knowledge.ageMs())
+                .write();
+        connection.sendProblem(refused.kind(), refused.reason(), refused.retryAfterMs());
+    }
+
+    void onMalformed(ErrorKind kind) {
+        metrics.count("refused_" + kind.label());
+        log.event("malformed request").field("kind", kind.label()).write();
+    }
+
+    /** Gives a request its final answer, which is an error of the gateway's own. */
+    void problem(Exchange exchange, ErrorKind kind, String detail, long retryAfterMs) {
+        if (exchange.done()) {
+            return;
+        }
+        exchange.connection().sendProblem(kind, detail, retryAfterMs);
+        finished(exchange, kind.httpStatus(), kind.label() + ": " + detail, "");
+    }
+
+    /** Breaks off an answer that has begun and can't be completed. */
+    void abort(Exchange exchange, String reason) {
+        if (exchange.done()) {
+            return;
+        }
+        exchange.connection().abort();
+        finished(exchange, 0, "aborted: " + reason, "");
+    }
+
+    /** Notes the end of a request. */
+    void finished(Exchange exchange, int status, String outcome, String upstreamId) {
+        long durationMs = clock.steadyMs() - exchange.arrivedMs();
+        metrics.count("answers_" + status);
+        metrics.time("answer_ms_" + exchange.route().kind(), durationMs);
+        log.event("request finished")
+                .field("request", exchange.requestId())
+                .field("route", exchange.route().name())
+                .field("status", status)
+                .field("outcome", outcome)
+                .field("upstream", upstreamId)
+                .field("sends", exchange.sends())
+                .field("problem", Optional.ofNullable(exchange.lastProblem()).orElse(""))
+                .field("durationMs", durationMs)
+                .field("timeAllowedMs", exchange.giveUpMs() - exchange.arrivedMs())
+                .field("waiting", places(exchange.service()).waiting())
+                .field(
+                        "configuration",
+                        knowledge
+                                .configuration()
+                                .map(GatewayConfiguration::version)
+                                .orElse(0L))
+                .field("configurationAgeMs", knowledge.ageMs())
+                .write();
+        exchange.setDone();
+    }
+
+    void onClientLeft(Exchange exchange) {
+        if (!exchange.done()) {
+            places(exchange.service()).cancel(exchange);
+            finished(exchange, 0, "client left", "");
+        }
+    }
+
+    void onConnectionClosed(ClientConnection connection) {
+        connections.remove(connection);
+    }
+
+    void onClientFailure(Throwable cause) {
+        metrics.count("client_connection_failures");
+        log.event("client connection failed")
+                .field("reason", String.valueOf(cause))
+                .write();
+    }
+
+    private void sweep() {
+        long nowMs = clock.steadyMs();
+        long wallMs = clock.wallMs();
+        if (wallMs - lastSweepWallMs - (nowMs - lastSweepSteadyMs) > SUSPENDED_MS) {
+            log.event("clock jumped or VM was suspended")
+                    .field("differenceMs", wallMs - lastSweepWallMs - (nowMs - lastSweepSteadyMs))
+                    .write();
+            services.values().forEach(ServicePlaces::closeIdle);
+        }
+        lastSweepSteadyMs = nowMs;
+        lastSweepWallMs = wallMs;
+        knowledge.sweep(nowMs);
+        List.copyOf(services.values()).forEach(places -> places.sweep(nowMs));
+        List.copyOf(connections).forEach(connection -> connection.sweep(nowMs));
+        boolean ready = knowledge.ready() && !leaving();
+        if (ready != lastReady) {
+            lastReady = ready;
+            log.event("readiness changed")
+                    .field("ready", ready)
+                    .field("configurationAgeMs", knowledge.ageMs())
+                    .field("leaving", leaving())
+                    .write();
+        }
+        if (leaving()) {
+            sweepLeaving(nowMs);
+        }
+    }
+
+    private void sweepLeaving(long nowMs) {
+        long leavingForMs = nowMs - leavingSinceMs;
+        if (leavingForMs > BALANCER_NOTICE_MS) {
+            List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+        }
+        Channel open = listener;
+        if (leavingForMs > ACCEPT_WHILE_LEAVING_MS && open != null) {
+            listener = null;
+            open.close();
+        }
+        boolean finished = leavingForMs > BALANCER_NOTICE_MS && connections.isEmpty();
+        if ((finished || leavingForMs > settings.drainGraceMs() - STOP_RESERVE_MS) && !stopped.isDone()) {
+            log.event("gateway stopped")
+                    .field("connections", connections.size())
+                    .field("afterMs", leavingForMs)
+                    .write();
+            configurationFollower.close();
+            upstreamFollower.close();
+            peerDirectory.close();
+            peerLink.close();
+            stopped.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayMetrics.java
@@ -0,0 +1,43 @@
+package org.kingcuproad.gateway;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import com.codahale.metrics.Snapshot;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/** Counters and latency histograms of a gateway, as text of one {@code name value} pair a line. */
+final class GatewayMetrics {
+
+    private static final long WINDOW_S = 30;
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+
+    private final MetricRegistry registry = new MetricRegistry();
+
+    void count(String name) {
+        registry.counter(name).inc();
+    }
+
+    void time(String name, long durationMs) {
+        Histogram histogram = registry.histogram(
+                name, () -> new Histogram(new SlidingTimeWindowArrayReservoir(WINDOW_S, TimeUnit.SECONDS)));
+        histogram.update(durationMs);
+    }
+
+    String render() {
+        StringBuilder text = new StringBuilder();
+        registry.getCounters()
+                .forEach((name, counter) ->
+                        text.append(name).append(' ').append(counter.getCount()).append('\n'));
+        registry.getHistograms().forEach((name, histogram) -> {
+            Snapshot snapshot = histogram.getSnapshot();
+            text.append(name).append("_count ").append(histogram.getCount()).append('\n');
+            for (double quantile : QUANTILES) {
+                text.append(String.format(
+                        Locale.ROOT, "%s{quantile=\"%.2f\"} %.0f%n", name, quantile, snapshot.getValue(quantile)));
+            }
+        });
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -0,0 +1,380 @@
+package org.kingcuproad.gateway;
+
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.gateway.PlaceCandidate;
+import org.kingcuproad.policy.gateway.PlaceChoice;
+import org.kingcuproad.policy.gateway.PlaceQueue;
+import org.kingcuproad.policy.gateway.RefusalDecision;
+import org.kingcuproad.policy.gateway.RepeatDecision;
+import org.kingcuproad.policy.gateway.RouteKind;
+import org.kingcuproad.policy.gateway.ServicePace;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.gateway.WindowedBudget;
+
+/** The places at the upstreams of one service, the requests that wait for them and those in progress. */
+final class ServicePlaces {
+
+    /**
+     * A connection that was idle for longer may have been dropped without notice; a request that must not run twice
+     * can't be sent again when that shows.
+     */
+    private static final long ONCE_MAX_IDLE_MS = 1_000;
+
+    private final Gateway gateway;
+    private final String service;
+    private final boolean engine;
+    private final Map<String, Upstream> upstreams = new HashMap<>();
+    private List<Upstream> order = List.of();
+    private final PlaceQueue<Exchange> queue = new PlaceQueue<>(Exchange::waiting);
+    private final Set<Attempt> running = new HashSet<>();
+    private final WindowedBudget budget;
+    private final ServicePace pace = new ServicePace();
+    private int rotation;
+    private boolean pumping;
+
+    ServicePlaces(Gateway gateway, String service, boolean engine, WindowedBudget budget) {
+        this.gateway = gateway;
+        this.service = service;
+        this.engine = engine;
+        this.budget = budget;
+    }
+
+    HeaderNames names() {
+        return gateway.names();
+    }
+
+    long nowMs() {
+        return gateway.clock().steadyMs();
+    }
+
+    Collection<Upstream> upstreams() {
+        return upstreams.values();
+    }
+
+    int waiting() {
+        return queue.size();
+    }
+
+    /** Replaces the set of upstreams. Requests at upstreams that are no longer there go on. */
+    void update(List<UpstreamEntry> entries) {
+        Set<String> present = new HashSet<>();
+        for (UpstreamEntry entry : entries) {
+            present.add(entry.id());
+            Upstream known = upstreams.get(entry.id());
+            boolean restarted = known != null && known.entry().bornMs() != entry.bornMs();
+            boolean moved = known != null
+                    && !(known.entry().host().equals(entry.host())
+                            && known.entry().port() == entry.port());
+            if (known == null || restarted || moved) {
+                if (known != null) {
+                    known.remove();
+                }
+                upstreams.put(entry.id(), new Upstream(entry));
+            } else {
+                known.setEntry(entry);
+            }
+        }
+        List<String> missing =
+                upstreams.keySet().stream().filter(id -> !present.contains(id)).toList();
+        missing.forEach(id -> Optional.ofNullable(upstreams.remove(id)).ifPresent(Upstream::remove));
+        order = List.copyOf(upstreams.values());
+        pump();
+    }
+
+    /** Takes a new request: sends it, lets it wait, or refuses it. */
+    void submit(Exchange exchange) {
+        long nowMs = nowMs();
+        budget.onRequest(nowMs);
+        boolean anyUsable = order.stream().anyMatch(Upstream::usable);
+        if (!anyUsable) {
+            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is known", RefusalDecision.RETRY_MS);
+            return;
+        }
+        queue.add(exchange);
+        pump();
+        if (exchange.attempt() == null && !exchange.done()) {
+            RefusalDecision decision = RefusalDecision.of(exchange.waiting(), queue.size(), pace, nowMs);
+            if (decision.refused() && queue.remove(exchange)) {
+                refuse(
+                        exchange,
+                        ErrorKind.OVERLOADED,
+                        "the expected wait is " + decision.expectedWaitMs() + " ms",
+                        decision.retryAfterMs());
+            }
+        }
+    }
+
+    private void refuse(Exchange exchange, ErrorKind kind, String detail, long retryAfterMs) {
+        long thirdOfTimeLeftMs = (exchange.giveUpMs() - nowMs()) / 3;
+        gateway.problem(exchange, kind, detail, Math.clamp(retryAfterMs, 0, Math.max(0, thirdOfTimeLeftMs)));
+    }
+
+    /** Sends waiting requests as long as there is room. */
+    void pump() {
+        if (pumping) {
+            return;
+        }
+        pumping = true;
+        try {
+            long nowMs = nowMs();
+            while (queue.size() > 0) {
+                Optional<Exchange> next = queue.poll(pace.firstAnswerMs(), nowMs);
+                if (next.isEmpty()) {
+                    return;
+                }
+                Exchange exchange = next.get();
+                OptionalInt place = choose(exchange, nowMs);
+                if (place.isEmpty()) {
+                    queue.add(exchange);
+                    return;
+                }
+                send(exchange, order.get(place.getAsInt()), nowMs);
+            }
+        } finally {
+            pumping = false;
+        }
+    }
+
+    private OptionalInt choose(Exchange exchange, long nowMs) {
+        List<PlaceCandidate> candidates = order.stream()
+                .map(upstream -> candidate(upstream, exchange, nowMs))
+                .toList();
+        return PlaceChoice.choose(candidates, engine, rotation++);
+    }
+
+    private PlaceCandidate candidate(Upstream upstream, Exchange exchange, long nowMs) {
+        boolean admitted = upstream.usable()
+                && !exchange.tried(upstream.entry().id())
+                && upstream.trust().admits(upstream.inFlight(), nowMs);
+        PeerLoads.Load peers = gateway.peerLoads().of(upstream.entry().id(), nowMs);
+        return new PlaceCandidate(
+                upstream.inFlight() + peers.inFlight(),
+                gateway.peerLoads().limit(upstream.entry().slots(), upstream.inFlight(), peers, nowMs),
+                upstream.unreadTokens() + peers.unreadTokens(),
+                upstream.trust().latencyMs(),
+                upstream.trust().failureShare(),
+                upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
+                admitted);
+    }
+
+    private void send(Exchange exchange, Upstream upstream, long nowMs) {
+        Attempt attempt = new Attempt(this, exchange, upstream, nowMs);
+        exchange.setAttempt(attempt);
+        exchange.onSend(upstream.entry().id());
+        running.add(attempt);
+        upstream.onSend(exchange.promptTokens());
+        long maxIdleMs = exchange.route().repeatable() ? Long.MAX_VALUE : ONCE_MAX_IDLE_MS;
+        UpstreamLink idle = upstream.takeIdle(nowMs, maxIdleMs);
+        if (idle != null && idle.open()) {
+            write(attempt, idle);
+        } else {
+            gateway.connect(upstream, attempt, this::write);
+        }
+    }
+
+    private void write(Attempt attempt, UpstreamLink link) {
+        Exchange exchange = attempt.exchange();
+        if (attempt.over()) {
+            link.close();
+            return;
+        }
+        long leftMs = exchange.giveUpMs() - nowMs();
+        attempt.onWritten(link);
+        link.send(
+                attempt,
+                Forwarding.request(
+                        exchange, names(), attempt.upstream().entry().id(), leftMs));
+    }
+
+    void onAnswerBegun(Attempt attempt) {
+        long nowMs = nowMs();
+        double answerMs = nowMs - attempt.sentMs();
+        attempt.upstream().trust().onSuccess(answerMs);
+        pace.onAnswerBegun(answerMs, nowMs);
+    }
+
+    void onEvent(long eventMs) {
+        pace.onEvent(eventMs);
+    }
+
+    void onForeignAnswer(Attempt attempt, String foreignId) {
+        gateway.log()
+                .event("passed over an answer to another request")
+                .field("request", attempt.requestId())
+                .field("upstream", attempt.upstream().entry().id())
+                .field("answerTo", foreignId)
+                .write();
+    }
+
+    void onPlaceFree() {
+        pace.onPlaceFree(nowMs());
+        gateway.later(this::pump);
+    }
+
+    void onAnswer(Attempt attempt, HeldAnswer answer) {
+        running.remove(attempt);
+        deliver(attempt.exchange(), answer, attempt.upstream());
+    }
+
+    private void deliver(Exchange exchange, HeldAnswer answer, Upstream upstream) {
+        boolean headRequest = exchange.head().method().equals(HttpMethod.HEAD);
+        var response = Forwarding.whole(answer, headRequest);
+        exchange.connection().sendHead(response, true);
+        ReferenceCountUtil.safeRelease(response);
+        gateway.finished(exchange, answer.head().status().code(), "answered", upstream.entry().id());
+    }
+
+    void onStreamEnd(Attempt attempt) {
+        running.remove(attempt);
+        Exchange exchange = attempt.exchange();
+        exchange.connection().sendEnd();
+        gateway.finished(exchange, 200, "streamed", attempt.upstream().entry().id());
+    }
+
+    /** Decides what follows a send that brought no answer for the client. */
+    void onOutcome(Attempt attempt, AttemptOutcome outcome) {
+        running.remove(attempt);
+        Exchange exchange = attempt.exchange();
+        if (exchange.done() || exchange.attempt() != attempt) {
+            return;
+        }
+        exchange.setAttempt(null);
+        exchange.setLastProblem(outcome.reason());
+        long nowMs = nowMs();
+        boolean mayHaveRun =
+                outcome instanceof AttemptOutcome.Lost || outcome instanceof AttemptOutcome.Failed;
+        if (mayHaveRun) {
+            exchange.setMayHaveRun();
+        }
+        boolean blamed = !(outcome instanceof AttemptOutcome.NotRun);
+        if (blamed && attempt.upstream().trust().onFailure(nowMs)) {
+            gateway.log()
+                    .event("upstream ejected")
+                    .field("upstream", attempt.upstream().entry().id())
+                    .field("reason", outcome.reason())
+                    .write();
+        }
+        if (blamed && !(outcome instanceof AttemptOutcome.Failed)) {
+            attempt.upstream().closeIdle();
+        }
+        boolean again = RepeatDecision.mayRepeat(
+                        exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.giveUpMs() - nowMs)
+                && order.stream()
+                        .anyMatch(other ->
+                                other.usable() && !exchange.tried(other.entry().id()))
+                && budget.tryExtra(nowMs);
+        gateway.log()
+                .event("send failed")
+                .field("request", exchange.requestId())
+                .field("upstream", attempt.upstream().entry().id())
+                .field("outcome", outcome.getClass().getSimpleName())
+                .field("reason", outcome.reason())
+                .field("sentForMs", nowMs - attempt.sentMs())
+                .field("again", again)
+                .write();
+        if (again) {
+            queue.add(exchange);
+            gateway.later(this::pump);
+        } else {
+            giveFinalAnswer(exchange, attempt, outcome);
+        }
+    }
+
+    private void giveFinalAnswer(Exchange exchange, Attempt attempt, AttemptOutcome outcome) {
+        if (exchange.headSent()) {
+            gateway.abort(exchange, outcome.reason());
+            return;
+        }
+        switch (outcome) {
+            case AttemptOutcome.Failed failed -> deliver(exchange, failed.answer(), attempt.upstream());
+            case AttemptOutcome.Lost lost ->
+                gateway.problem(exchange, ErrorKind.UPSTREAM_LOST, "the upstream was lost", -1);
+            case AttemptOutcome.NotRun notRun -> notRunAnswer(exchange);
+            case AttemptOutcome.NotSent notSent -> notRunAnswer(exchange);
+        }
+    }
+
+    private void notRunAnswer(Exchange exchange) {
+        if (exchange.mayHaveRun()) {
+            gateway.problem(exchange, ErrorKind.UPSTREAM_LOST, "the upstream was lost", -1);
+        } else {
+            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream took the request", pace.retryAfterMs(queue.size()));
+        }
+    }
+
+    /** Ends the work for a client that has left. */
+    void cancel(Exchange exchange) {
+        queue.remove(exchange);
+        Attempt attempt = exchange.attempt();
+        if (attempt != null) {
+            running.remove(attempt);
+            if (exchange.route().kind() == RouteKind.NON_IDEMPOTENT) {
+                attempt.detach();
+            } else {
+                attempt.cancel();
+            }
+        }
+    }
+
+    /** Checks waiting and running requests against their limits. */
+    void sweep(long nowMs) {
+        for (Exchange exchange : queue.expired(nowMs)) {
+            if (exchange.headSent()) {
+                gateway.abort(exchange, "no upstream had room to resume");
+            } else if (exchange.mayHaveRun()) {
+                gateway.problem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no answer in time", -1);
+            } else {
+                refuse(
+                        exchange,
+                        ErrorKind.OVERLOADED,
+                        "no upstream had room in time",
+                        pace.retryAfterMs(queue.size()));
+            }
+        }
+        for (Attempt attempt : new ArrayList<>(running)) {
+            sweep(attempt, nowMs);
+        }
+        upstreams.values().forEach(upstream -> upstream.sweepIdle(nowMs));
+        pump();
+    }
+
+    private void sweep(Attempt attempt, long nowMs) {
+        Exchange exchange = attempt.exchange();
+        if (attempt.over()) {
+            running.remove(attempt);
+        } else if (nowMs >= exchange.giveUpMs()) {
+            cancel(exchange);
+            if (exchange.headSent()) {
+                gateway.abort(exchange, "time is up");
+            } else {
+                gateway.problem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no answer in time", -1);
+            }
+        } else if (RepeatDecision.looksHung(
+                        exchange.route(), attempt.answerBegun(), attempt.sentMs(), attempt.lastEventMs(), pace, nowMs)
+                && RepeatDecision.mayRepeat(
+                        exchange.route(), exchange.sends(), true, exchange.giveUpMs() - nowMs)) {
+            attempt.cancel();
+            onOutcome(attempt, new AttemptOutcome.Lost("no progress"));
+        }
+    }
+
+    /** Forgets idle connections, for example because the VM was suspended. */
+    void closeIdle() {
+        upstreams.values().forEach(Upstream::closeIdle);
+    }
+
+    String service() {
+        return service;
+    }
+}
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -0,0 +1,112 @@
+package org.kingcuproad.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.gateway.UpstreamTrust;
+
+/** An upstream as the gateway uses it: its connections, requests in progress and what is believed of it. */
+final class Upstream {
+
+    private UpstreamEntry entry;
+    private final UpstreamTrust trust = new UpstreamTrust();
+    private final Deque<UpstreamLink> idle = new ArrayDeque<>();
+    private int inFlight;
+    private double unreadTokens;
+    private boolean gone;
+
+    Upstream(UpstreamEntry entry) {
+        this.entry = entry;
+    }
+
+    UpstreamEntry entry() {
+        return entry;
+    }
+
+    void setEntry(UpstreamEntry current) {
+        entry = current;
+    }
+
+    UpstreamTrust trust() {
+        return trust;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    double unreadTokens() {
+        return unreadTokens;
+    }
+
+    void onSend(double promptTokens) {
+        inFlight++;
+        unreadTokens += promptTokens;
+    }
+
+    void onRead(double promptTokens) {
+        unreadTokens -= promptTokens;
+    }
+
+    void onDone() {
+        inFlight--;
+    }
+
+    /** Tells whether new requests may go there. */
+    boolean usable() {
+        return !gone && !entry.draining();
+    }
+
+    /** Ends the use of the upstream. Requests in progress go on. */
+    void remove() {
+        gone = true;
+        closeIdle();
+    }
+
+    /**
+     * Takes the idle connection that was used last.
+     *
+     * @param nowMs current time, in milliseconds
+     * @param maxIdleMs longest time without use, in milliseconds
+     * @return a connection, or null if there is none that can be relied on
+     */
+    @org.jspecify.annotations.Nullable UpstreamLink takeIdle(long nowMs, long maxIdleMs) {
+        sweepIdle(nowMs);
+        UpstreamLink link = idle.peekLast();
+        if (link == null || nowMs - link.idleSinceMs() > maxIdleMs) {
+            return null;
+        }
+        return idle.removeLast();
+    }
+
+    void putIdle(UpstreamLink link) {
+        if (gone) {
+            link.close();
+        } else {
+            idle.addLast(link);
+        }
+    }
+
+    void onLinkClosed(UpstreamLink link) {
+        idle.remove(link);
+    }
+
+    /** Closes connections that the upstream is about to close itself. */
+    void sweepIdle(long nowMs) {
+        Iterator<UpstreamLink> links = idle.iterator();
+        while (links.hasNext()) {
+            UpstreamLink link = links.next();
+            if (link.idleUntilMs() <= nowMs) {
+                links.remove();
+                link.close();
+            }
+        }
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.removeLast().close();
+        }
+    }
+}
--- a/kingcuproad-model/src/main/java/org/kingcuproad/model/ErrorKind.java
+++ b/kingcuproad-model/src/main/java/org/kingcuproad/model/ErrorKind.java
@@ -29,6 +29,9 @@
     HEADERS_TOO_LARGE(
             "headers-too-large", 431, Execution.NOT_RUN, false, "The request line or headers are larger than allowed."),
 
+    /** The client took too long to send its request. */
+    REQUEST_TIMEOUT("request-timeout", 408, Execution.NOT_RUN, true, "The client took too long to send its request."),
+
     /** The environment document has mistakes. */
     DOCUMENT_INVALID("document-invalid", 422, Execution.NOT_RUN, false, "The environment document has mistakes."),
 
@@ -55,6 +58,14 @@
             true,
             "The platform's object API does not answer, so the order could not be claimed."),
 
+    /** No configuration is known, or it is too old to trust the keys in it. */
+    CONFIGURATION_STALE(
+            "configuration-stale",
+            503,
+            Execution.NOT_RUN,
+            true,
+            "No configuration is known, or it is too old to trust the keys in it."),
+
     /** The process takes no new work. */
     SHUTTING_DOWN("shutting-down", 503, Execution.NOT_RUN, true, "The process takes no new work."),
 
--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/WindowedBudget.java
@@ -0,0 +1,63 @@
+package org.kingcuproad.policy.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * One gateway's part of the budget for sending requests again that all gateways share.
+ *
+ * <p>In each window the extra sends of all gateways together may be a ratio of the requests, plus a slack. Each gateway
+ * spends the ratio of its own requests and a fixed part of the slack, so no message between gateways is needed.
+ */
+public final class WindowedBudget {
+
+    private final double ratio;
+    private final long windowMs;
+    private final double slack;
+    private final Deque<Long> requestsMs = new ArrayDeque<>();
+    private final Deque<Long> extraMs = new ArrayDeque<>();
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio extra sends for each request
+     * @param windowMs length of the sliding window, in milliseconds
+     * @param slack this gateway's part of the slack, in sends a window
+     */
+    public WindowedBudget(double ratio, long windowMs, double slack) {
+        this.ratio = ratio;
+        this.windowMs = windowMs;
+        this.slack = slack;
+    }
+
+    /**
+     * Notes a request of a client.
+     *
+     * @param nowMs current time, in milliseconds
+     */
+    public void onRequest(long nowMs) {
+        requestsMs.addLast(nowMs);
+    }
+
+    /**
+     * Takes one extra send out of the budget.
+     *
+     * @param nowMs current time, in milliseconds
+     * @return whether the request may be sent again
+     */
+    public boolean tryExtra(long nowMs) {
+        trim(requestsMs, nowMs);
+        trim(extraMs, nowMs);
+        if (extraMs.size() + 1 > ratio * requestsMs.size() + slack) {
+            return false;
+        }
+        extraMs.addLast(nowMs);
+        return true;
+    }
+
+    private void trim(Deque<Long> times, long nowMs) {
+        while (!times.isEmpty() && times.getFirst() <= nowMs - windowMs) {
+            times.removeFirst();
+        }
+    }
+}
