--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Assignment.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Assignment.java
@@ -11,4 +11,5 @@
  * @param workspace workspace that holds its key; null on anonymous routes
  * @param priority rank, 0 is the highest
  */
-record Assignment(GatewayRoute route, String service, @Nullable String workspace, int priority) {}
+record Assignment(
+        GatewayRoute route, String service, @Nullable String workspace, int priority) {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -226,7 +226,10 @@
         } else if (reading == Reading.HELD && response != null) {
             HeldAnswer answer = new HeldAnswer(response, held.toByteArray());
             if (response.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
-                places.onOutcome(this, new AttemptOutcome.Failed(answer, "status " + response.status().code()));
+                places.onOutcome(
+                        this,
+                        new AttemptOutcome.Failed(
+                                answer, "status " + response.status().code()));
             } else {
                 places.onAnswer(this, answer);
             }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -96,7 +96,8 @@
         return service;
     }
 
-    @Nullable String workspace() {
+    @Nullable
+    String workspace() {
         return workspace;
     }
 
@@ -161,7 +162,8 @@
         lastEventId = id;
     }
 
-    @Nullable Attempt attempt() {
+    @Nullable
+    Attempt attempt() {
         return attempt;
     }
 
@@ -169,7 +171,8 @@
         attempt = current;
     }
 
-    @Nullable String lastProblem() {
+    @Nullable
+    String lastProblem() {
         return lastProblem;
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.util.ArrayList;
@@ -32,8 +31,6 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
-import org.kingcuproad.policy.gateway.GatewayRoute;
-import org.kingcuproad.policy.gateway.KeyHolder;
 import org.kingcuproad.policy.gateway.ServiceProfile;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedBudget;
@@ -269,9 +266,11 @@
 
     private void onKnowledgeChanged() {
         Map<String, List<UpstreamEntry>> byService = new HashMap<>();
-        knowledge.upstreams().forEach(entry -> byService
-                .computeIfAbsent(entry.service(), unused -> new ArrayList<>())
-                .add(entry));
+        knowledge
+                .upstreams()
+                .forEach(entry -> byService
+                        .computeIfAbsent(entry.service(), unused -> new ArrayList<>())
+                        .add(entry));
         byService.keySet().forEach(this::places);
         services.forEach((service, places) -> places.update(byService.getOrDefault(service, List.of())));
     }
@@ -304,7 +303,11 @@
         metrics.count("requests");
         String requestId = head.headers().get(names().requestId());
         RequestCheck.Result result = RequestCheck.check(
-                head, names(), knowledge, CERTAIN_AGE_MS, ThreadLocalRandom.current().nextDouble());
+                head,
+                names(),
+                knowledge,
+                CERTAIN_AGE_MS,
+                ThreadLocalRandom.current().nextDouble());
         switch (result) {
             case RequestCheck.Refused refused -> {
                 body.release();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
@@ -137,9 +137,10 @@
                 WATCH_WAIT_MS + WATCH_SLACK_MS,
                 reply -> {
                     switch (reply) {
-                        case HttpReply.Answer answer when answer.status() == STATUS_OK ->
-                            onWatched(answer.body(), askedSteadyMs, askedWallMs);
-                        case HttpReply.Answer answer when answer.status() == STATUS_GONE -> {
+                        case HttpReply.Answer answer
+                        when answer.status() == STATUS_OK -> onWatched(answer.body(), askedSteadyMs, askedWallMs);
+                        case HttpReply.Answer answer
+                        when answer.status() == STATUS_GONE -> {
                             log.event("store history gone")
                                     .field("kind", dialect.kind())
                                     .field("revision", revision)
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OwnAnswers.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OwnAnswers.java
@@ -34,9 +34,7 @@
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
         if (retryAfterMs >= 0) {
             response.headers()
-                    .set(
-                            HttpHeaderNames.RETRY_AFTER,
-                            String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_SECOND));
+                    .set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_SECOND));
         }
         return response;
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
@@ -82,8 +82,8 @@
 
     /** Returns how many requests all gateways together should have at an upstream. */
     int limit(int slots, int own, Load told, long nowMs) {
-        int silent = (int)
-                peers.values().stream().filter(peer -> !peer.fresh(nowMs)).count();
+        int silent =
+                (int) peers.values().stream().filter(peer -> !peer.fresh(nowMs)).count();
         return PlaceLimit.of(slots, peers.size() - silent, silent, own, told.inFlight());
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -193,8 +193,7 @@
         attempt.onWritten(link);
         link.send(
                 attempt,
-                Forwarding.request(
-                        exchange, names(), attempt.upstream().entry().id(), leftMs));
+                Forwarding.request(exchange, names(), attempt.upstream().entry().id(), leftMs));
     }
 
     void onAnswerBegun(Attempt attempt) {
@@ -232,7 +231,11 @@
         var response = Forwarding.whole(answer, headRequest);
         exchange.connection().sendHead(response, true);
         ReferenceCountUtil.safeRelease(response);
-        gateway.finished(exchange, answer.head().status().code(), "answered", upstream.entry().id());
+        gateway.finished(
+                exchange,
+                answer.head().status().code(),
+                "answered",
+                upstream.entry().id());
     }
 
     void onStreamEnd(Attempt attempt) {
@@ -252,8 +255,7 @@
         exchange.setAttempt(null);
         exchange.setLastProblem(outcome.reason());
         long nowMs = nowMs();
-        boolean mayHaveRun =
-                outcome instanceof AttemptOutcome.Lost || outcome instanceof AttemptOutcome.Failed;
+        boolean mayHaveRun = outcome instanceof AttemptOutcome.Lost || outcome instanceof AttemptOutcome.Failed;
         if (mayHaveRun) {
             exchange.setMayHaveRun();
         }
@@ -335,11 +337,7 @@
             } else if (exchange.mayHaveRun()) {
                 gateway.problem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no answer in time", -1);
             } else {
-                refuse(
-                        exchange,
-                        ErrorKind.OVERLOADED,
-                        "no upstream had room in time",
-                        pace.retryAfterMs(queue.size()));
+                refuse(exchange, ErrorKind.OVERLOADED, "no upstream had room in time", pace.retryAfterMs(queue.size()));
             }
         }
         for (Attempt attempt : new ArrayList<>(running)) {
@@ -362,8 +360,7 @@
             }
         } else if (RepeatDecision.looksHung(
                         exchange.route(), attempt.answerBegun(), attempt.sentMs(), attempt.lastEventMs(), pace, nowMs)
-                && RepeatDecision.mayRepeat(
-                        exchange.route(), exchange.sends(), true, exchange.giveUpMs() - nowMs)) {
+                && RepeatDecision.mayRepeat(exchange.route(), exchange.sends(), true, exchange.giveUpMs() - nowMs)) {
             attempt.cancel();
             onOutcome(attempt, new AttemptOutcome.Lost("no progress"));
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -71,7 +71,8 @@
      * @param maxIdleMs longest time without use, in milliseconds
      * @return a connection, or null if there is none that can be relied on
      */
-    @org.jspecify.annotations.Nullable UpstreamLink takeIdle(long nowMs, long maxIdleMs) {
+    @org.jspecify.annotations.Nullable
+    UpstreamLink takeIdle(long nowMs, long maxIdleMs) {
         sweepIdle(nowMs);
         UpstreamLink link = idle.peekLast();
         if (link == null || nowMs - link.idleSinceMs() > maxIdleMs) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamLink.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamLink.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -17,8 +16,8 @@
 /**
  * A connection to an upstream, with at most one request on it.
  *
- * <p>An upstream may send another request's answer late, where the next answer is expected. Such an answer is recognised
- * by its request id and passed over. Bytes that arrive while no request is in progress close the connection.
+ * <p>An upstream may send another request's answer late, where the next answer is expected. Such an answer is
+ * recognised by its request id and passed over. Bytes that arrive while no request is in progress close the connection.
  */
 final class UpstreamLink extends ChannelInboundHandlerAdapter {
 
@@ -144,8 +143,7 @@
     }
 
     private void readConnectionHeaders(HttpResponse response) {
-        boolean framed =
-                HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+        boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
         closeAfterAnswer = !HttpUtil.isKeepAlive(response) || !framed;
         String keepAlive = response.headers().get(KEEP_ALIVE);
         if (keepAlive != null) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/Freshness.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/Freshness.java
@@ -4,8 +4,8 @@
  * How old the knowledge of keys may be.
  *
  * <p>A key may be taken away while a gateway can't reach the store, so requests with a key are refused when the last
- * proof that the configuration is current is too old. A suspended VM stops the steady clock but not the time of day, and
- * the time of day may jump, so the age is the larger of what both clocks say.
+ * proof that the configuration is current is too old. A suspended VM stops the steady clock but not the time of day,
+ * and the time of day may jump, so the age is the larger of what both clocks say.
  */
 public final class Freshness {
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceChoice.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceChoice.java
@@ -42,8 +42,8 @@
                 .map(index -> Math.floorMod(index + offset, size))
                 .filter(index -> candidates.get(index).hasRoom())
                 .boxed()
-                .min(Comparator.comparingDouble(index ->
-                        engine ? engineCost(candidates.get(index)) : plainCost(candidates.get(index))))
+                .min(Comparator.comparingDouble(
+                        index -> engine ? engineCost(candidates.get(index)) : plainCost(candidates.get(index))))
                 .map(OptionalInt::of)
                 .orElse(OptionalInt.empty());
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceQueue.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceQueue.java
@@ -85,8 +85,7 @@
     }
 
     private Comparator<T> order(double firstAnswerMs, long nowMs) {
-        return Comparator.<T>comparingInt(request ->
-                        features.apply(request).aimByMs() >= nowMs + firstAnswerMs ? 0 : 1)
+        return Comparator.<T>comparingInt(request -> features.apply(request).aimByMs() >= nowMs + firstAnswerMs ? 0 : 1)
                 .thenComparingInt(request -> features.apply(request).priority())
                 .thenComparingLong(request -> features.apply(request).aimByMs());
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RepeatDecision.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RepeatDecision.java
@@ -59,8 +59,7 @@
                 !answerBegun
                         && nowMs - sentMs
                                 > Math.max(
-                                        route.latencyGoalMs(),
-                                        Math.min(usualMs, PLAIN_HUNG_SHARE * route.timeoutMs()));
+                                        route.latencyGoalMs(), Math.min(usualMs, PLAIN_HUNG_SHARE * route.timeoutMs()));
             case STREAMING ->
                 pace.progressed(PROGRESS_MS, nowMs)
                         && (answerBegun
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RouteTable.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RouteTable.java
@@ -18,8 +18,8 @@
      */
     public RouteTable(List<GatewayRoute> routes) {
         this.byHost = new HashMap<>();
-        routes.forEach(route -> byHost.computeIfAbsent(route.host(), host -> new HashMap<>())
-                .putIfAbsent(route.pathPrefix(), route));
+        routes.forEach(route ->
+                byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).putIfAbsent(route.pathPrefix(), route));
     }
 
     /**
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServicePace.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServicePace.java
@@ -25,8 +25,7 @@
      * @param nowMs current time, in milliseconds
      */
     public void onAnswerBegun(double answerMs, long nowMs) {
-        firstAnswerMs =
-                firstAnswerMs == 0 ? answerMs : firstAnswerMs + ANSWER_WEIGHT * (answerMs - firstAnswerMs);
+        firstAnswerMs = firstAnswerMs == 0 ? answerMs : firstAnswerMs + ANSWER_WEIGHT * (answerMs - firstAnswerMs);
         lastAnswerMs = nowMs;
     }
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamEntry.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamEntry.java
@@ -13,4 +13,11 @@
  * @param bornMs time of its start on its own clock, in Unix milliseconds; 0 if it doesn't tell
  */
 public record UpstreamEntry(
-        String id, String service, String host, int port, String dataCentre, int slots, boolean draining, long bornMs) {}
+        String id,
+        String service,
+        String host,
+        int port,
+        String dataCentre,
+        int slots,
+        boolean draining,
+        long bornMs) {}
--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
@@ -12,8 +12,8 @@
 /**
  * Writes lines on a thread of its own.
  *
- * <p>A caller never blocks: a line that finds the queue full is dropped and counted, and the count is written when there
- * is room again.
+ * <p>A caller never blocks: a line that finds the queue full is dropped and counted, and the count is written when
+ * there is room again.
  */
 public final class LineSink {
 
