--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreDialect.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreDialect.java
@@ -25,6 +25,13 @@
      */
     String listTarget(Optional<String> after);
 
+    /**
+     * Returns the request target of a cheap listing that may be some seconds old.
+     *
+     * @return a request target
+     */
+    String relaxedListTarget();
+
     /**
      * Returns the request target that waits for changes.
      *
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -0,0 +1,135 @@
+package org.kingcuproad.gateway.rank;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.IntStream;
+import org.kingcuproad.policy.lockstep.ExpertLists;
+import org.kingcuproad.policy.lockstep.ExpertLoads;
+import org.kingcuproad.policy.lockstep.GroupShape;
+import org.kingcuproad.policy.lockstep.PassSwitch;
+import org.kingcuproad.policy.lockstep.RankState;
+import org.kingcuproad.policy.lockstep.ReplicaPlanner;
+import org.kingcuproad.policy.lockstep.SwitchAction;
+import org.kingcuproad.runtime.log.DecisionLog;
+
+/** Decides at rank 0 when the group changes its map, and to which. */
+final class MapCoordinator {
+
+    /** Popularity shifts every few seconds on the worst days; a shorter memory follows single requests. */
+    private static final double LOAD_HALF_LIFE_MS = 700;
+
+    /** Least time between two plans; a plan takes some milliseconds of a small processor. */
+    private static final long PLAN_INTERVAL_MS = 200;
+
+    /** Least reduction of the heaviest rank's load, in mean loads, that pays for the copy of one expert. */
+    private static final double LEAST_GAIN_PER_COPY = 0.012;
+
+    /** Least reduction summed over the sets that pays for a change at all. */
+    private static final double LEAST_GAIN = 0.12;
+
+    /** Recent choices below which the loads say little; a request of usual size makes some ten thousand. */
+    private static final double LEAST_CHOICES = 500_000;
+
+    private final int ranks;
+    private final GroupShape shape;
+    private final DecisionLog log;
+    private final PassSwitch passSwitch;
+    private final ExpertLoads loads = new ExpertLoads(LOAD_HALF_LIFE_MS);
+    private final SortedMap<Integer, Held> held = new TreeMap<>();
+    private long plannedMs = Long.MIN_VALUE / 2;
+    private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
+
+    private record Held(long epoch, long mapVersion, int[][] bySet) {}
+
+    MapCoordinator(int ranks, GroupShape shape, DecisionLog log) {
+        this.ranks = ranks;
+        this.shape = shape;
+        this.log = log;
+        this.passSwitch = new PassSwitch(ranks);
+    }
+
+    boolean active() {
+        return passSwitch.phase() != PassSwitch.Phase.IDLE;
+    }
+
+    void onState(RankState state, long heldMapVersion, int[][] experts) {
+        passSwitch.onState(state);
+        held.put(state.rank(), new Held(state.epoch(), heldMapVersion, experts));
+    }
+
+    void onCounters(int rank, int offset, long[] values, int total, long nowMs) {
+        loads.onCounters(rank, offset, values, total, nowMs);
+    }
+
+    void onHold(long step, boolean accepted, long nowMs) {
+        passSwitch.onHold(step, accepted, nowMs);
+    }
+
+    /** Returns what to do now; {@code own} is the state of rank 0. */
+    List<SwitchAction> next(RankState own, long nowMs) {
+        Optional<ExpertLists> current = current(own);
+        if (current.isPresent() && nowMs - plannedMs >= PLAN_INTERVAL_MS && passSwitch.mayBegin(nowMs)) {
+            plannedMs = nowMs;
+            plan(current.get(), nowMs);
+        }
+        List<SwitchAction> actions =
+                passSwitch.next(current, ThreadLocalRandom.current().nextInt(), nowMs);
+        if (passSwitch.phase() != loggedPhase) {
+            loggedPhase = passSwitch.phase();
+            log.event("map change phase")
+                    .field("phase", loggedPhase.name())
+                    .field("step", own.step())
+                    .field("map", own.mapVersion())
+                    .write();
+        }
+        return actions;
+    }
+
+    private Optional<ExpertLists> current(RankState own) {
+        List<int[][]> known = held.values().stream()
+                .filter(rank -> rank.epoch == own.epoch() && rank.mapVersion == own.mapVersion())
+                .map(Held::bySet)
+                .toList();
+        return known.size() == ranks ? Optional.of(ExpertLists.ofRanks(known)) : Optional.empty();
+    }
+
+    private void plan(ExpertLists current, long nowMs) {
+        if (loads.total() < LEAST_CHOICES || current.sets() != shape.sets()) {
+            return;
+        }
+        ExpertLists planned = current;
+        double before = 0;
+        double after = 0;
+        for (int set = 0; set < shape.sets(); set++) {
+            double[] counts = loads.ofSet(set, shape.experts());
+            int[][] byRank = byRank(current, set);
+            int[][] better = ReplicaPlanner.plan(shape, byRank, counts, LEAST_GAIN_PER_COPY);
+            before += ReplicaPlanner.heaviestLoad(shape, byRank, counts);
+            after += ReplicaPlanner.heaviestLoad(shape, better, counts);
+            planned = planned.withSet(set, better);
+        }
+        int copies = planned.copiesFrom(current);
+        boolean worthwhile = before - after >= LEAST_GAIN && copies > 0;
+        if (!worthwhile) {
+            return;
+        }
+        long version = passSwitch.newVersion(ThreadLocalRandom.current().nextInt());
+        log.event("map change planned")
+                .field("version", version)
+                .field("copies", copies)
+                .field("heaviestBeforePercent", Math.round(before / shape.sets() * 100))
+                .field("heaviestAfterPercent", Math.round(after / shape.sets() * 100))
+                .field("choices", Math.round(loads.total()))
+                .write();
+        passSwitch.begin(version, planned, nowMs);
+    }
+
+    private static int[][] byRank(ExpertLists lists, int set) {
+        return IntStream.range(0, lists.ranks())
+                .mapToObj(rank -> lists.experts(set, rank))
+                .toArray(int[][]::new);
+    }
+}
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -0,0 +1,470 @@
+package org.kingcuproad.gateway.rank;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.kingcuproad.gateway.Clock;
+import org.kingcuproad.gateway.HttpReply;
+import org.kingcuproad.gateway.SerialHttpConnection;
+import org.kingcuproad.gateway.StoreDialect;
+import org.kingcuproad.policy.gateway.GatewayConfiguration;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.lockstep.EngineOrder;
+import org.kingcuproad.policy.lockstep.GroupShape;
+import org.kingcuproad.policy.lockstep.RankState;
+import org.kingcuproad.policy.lockstep.RankWish;
+import org.kingcuproad.policy.lockstep.SwitchAction;
+import org.kingcuproad.runtime.log.DecisionLog;
+
+/**
+ * The agent beside a model engine that is a rank of a group.
+ *
+ * <p>It reads its engine's state and counters, tells them to the agent of rank 0, and gives its engine the orders that
+ * the agent of rank 0 asks for. One event loop owns all sockets and state.
+ */
+public final class RankAgent {
+
+    /** Reports are free on the engine's own VM; a change is noticed within this time. */
+    private static final long REPORT_MS = 100;
+
+    /** While a map is changed the group may stand still, so states are read more often. */
+    private static final long ACTIVE_REPORT_MS = 20;
+
+    private static final long COUNTERS_MS = 200;
+    private static final long HELLO_MS = 1_000;
+    private static final long LISTING_MS = 5_000;
+    private static final long CALL_TIMEOUT_MS = 300;
+    private static final long STORE_TIMEOUT_MS = 1_000;
+    private static final int STATUS_OK = 200;
+    private static final int MAX_DATAGRAM_BYTES = 16 << 10;
+    private static final int COUNTERS_A_DATAGRAM = 288;
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final RankAgentSettings settings;
+    private final EngineDialect dialect;
+    private final StoreDialect<UpstreamEntry> register;
+    private final StoreDialect<GatewayConfiguration> configuration;
+    private final EventLoop eventLoop;
+    private final Clock clock;
+    private final DecisionLog log;
+    private final SerialHttpConnection reports;
+    private final SerialHttpConnection counters;
+    private final SerialHttpConnection store;
+    private final RankOrders orders;
+    private final RankOrders holds;
+    private List<InetSocketAddress> peers = List.of();
+    private @Nullable Channel channel;
+    private @Nullable RankState state;
+    private @Nullable String group;
+    private @Nullable InetSocketAddress coordinatorAddress;
+    private @Nullable MapCoordinator coordinator;
+    private @Nullable GroupShape shape;
+    private int ranks;
+    private long expertsEpoch = -1;
+    private long expertsVersion = -1;
+    private int[][] experts = new int[0][];
+    private @Nullable RankWish wish;
+    private long wishEpoch;
+    private long reportedMs = Long.MIN_VALUE / 2;
+    private boolean reporting;
+    private boolean counting;
+
+    /**
+     * Creates an agent that does nothing yet.
+     *
+     * @param settings settings
+     * @param dialect how the engine is asked and told
+     * @param register how registered upstreams are read
+     * @param configuration how the configuration is read
+     * @param eventLoops a group with one event loop
+     * @param clock clocks of the VM
+     * @param log log of the process
+     */
+    public RankAgent(
+            RankAgentSettings settings,
+            EngineDialect dialect,
+            StoreDialect<UpstreamEntry> register,
+            StoreDialect<GatewayConfiguration> configuration,
+            EventLoopGroup eventLoops,
+            Clock clock,
+            DecisionLog log) {
+        this.settings = settings;
+        this.dialect = dialect;
+        this.register = register;
+        this.configuration = configuration;
+        this.eventLoop = eventLoops.next();
+        this.clock = clock;
+        this.log = log;
+        this.reports = new SerialHttpConnection(eventLoop, settings.engineAddress());
+        this.counters = new SerialHttpConnection(eventLoop, settings.engineAddress());
+        this.store = new SerialHttpConnection(eventLoop, settings.storeAddress());
+        this.orders = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log);
+        this.holds = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log);
+    }
+
+    /** Starts the agent. */
+    public void start() {
+        eventLoop.execute(() -> {
+            channel = new Bootstrap()
+                    .group(eventLoop)
+                    .channel(NioDatagramChannel.class)
+                    .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                    .handler(new Receiver())
+                    .bind(settings.agentAddress())
+                    .channel();
+            every(ACTIVE_REPORT_MS, this::reportIfDue);
+            every(COUNTERS_MS, this::readCounters);
+            every(HELLO_MS, this::sayHello);
+            readConfiguration();
+            log.event("rank agent started").field("name", settings.name()).write();
+        });
+    }
+
+    /** Stops the agent. */
+    public void close() {
+        eventLoop.execute(() -> {
+            log.event("rank agent stopped").write();
+            reports.close();
+            counters.close();
+            store.close();
+            orders.close();
+            holds.close();
+        });
+    }
+
+    private void every(long periodMs, Runnable step) {
+        eventLoop.scheduleWithFixedDelay(step, 0, periodMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void readConfiguration() {
+        store.call(HttpMethod.GET, configuration.listTarget(Optional.empty()), NO_BODY, STORE_TIMEOUT_MS, reply -> {
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    shape = configuration.readPage(answer.body()).objects().stream()
+                            .flatMap(object -> object.value().stream())
+                            .flatMap(current -> Optional.ofNullable(
+                                    current.services().get(settings.service()))
+                                    .stream())
+                            .flatMap(service -> service.shape().stream())
+                            .findFirst()
+                            .orElse(null);
+                } catch (IOException unreadable) {
+                    log.event("unreadable configuration")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+            if (shape == null) {
+                eventLoop.schedule(this::readConfiguration, HELLO_MS, TimeUnit.MILLISECONDS);
+            } else {
+                readRegister();
+            }
+        });
+    }
+
+    private void readRegister() {
+        String target = register.relaxedListTarget();
+        store.call(HttpMethod.GET, target, NO_BODY, STORE_TIMEOUT_MS, reply -> {
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    peers = register.readPage(answer.body()).objects().stream()
+                            .flatMap(object -> object.value().stream())
+                            .filter(entry -> entry.service().equals(settings.service()))
+                            .map(UpstreamEntry::host)
+                            .filter(host -> !host.equals(settings.agentAddress().getHostString()))
+                            .map(host -> new InetSocketAddress(
+                                    host, settings.agentAddress().getPort()))
+                            .toList();
+                } catch (IOException unreadable) {
+                    log.event("unreadable register")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+            eventLoop.schedule(this::readRegister, LISTING_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void reportIfDue() {
+        MapCoordinator running = coordinator;
+        boolean active = wish != null || (running != null && running.active());
+        if (clock.steadyMs() - reportedMs >= (active ? ACTIVE_REPORT_MS : REPORT_MS)) {
+            report();
+        }
+    }
+
+    private void report() {
+        if (reporting) {
+            return;
+        }
+        reporting = true;
+        reportedMs = clock.steadyMs();
+        reports.call(HttpMethod.GET, dialect.reportTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
+            reporting = false;
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    onReport(dialect.readReport(answer.body()));
+                } catch (IOException unreadable) {
+                    log.event("unreadable report")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+        });
+    }
+
+    private void onReport(EngineReport report) {
+        if (report.place().isEmpty()) {
+            return;
+        }
+        EngineReport.GroupPlace place = report.place().get();
+        RankState known = state;
+        if (known == null || known.epoch() != place.epoch() || known.rank() != place.rank()) {
+            wish = null;
+            coordinatorAddress = null;
+            log.event("place in group")
+                    .field("group", place.group())
+                    .field("rank", place.rank())
+                    .field("epoch", place.epoch())
+                    .write();
+            ranks = place.ranks();
+            group = place.group();
+            coordinator = null;
+        }
+        RankState current = new RankState(
+                place.rank(),
+                place.epoch(),
+                place.open(),
+                report.step(),
+                report.mapVersion(),
+                report.preparedVersion(),
+                report.armedVersion(),
+                report.heldStep(),
+                clock.steadyMs());
+        state = current;
+        if (expertsEpoch != current.epoch() || expertsVersion != current.mapVersion()) {
+            readExperts(current.epoch());
+        }
+        tell(current);
+        followWish();
+    }
+
+    private void readExperts(long epoch) {
+        if (counting) {
+            return;
+        }
+        counting = true;
+        counters.call(HttpMethod.GET, dialect.expertsTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
+            counting = false;
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    EngineDialect.HeldExperts held = dialect.readExperts(answer.body());
+                    experts = held.bySet();
+                    expertsVersion = held.mapVersion();
+                    expertsEpoch = epoch;
+                } catch (IOException unreadable) {
+                    log.event("unreadable experts")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+        });
+    }
+
+    private void tell(RankState current) {
+        String name = group;
+        if (name == null || expertsEpoch != current.epoch()) {
+            return;
+        }
+        if (current.rank() == 0) {
+            MapCoordinator running = coordinator();
+            if (running != null) {
+                running.onState(current, expertsVersion, experts);
+                coordinate(running);
+            }
+        } else if (coordinatorAddress != null) {
+            send(new RankMessage.State(name, current, expertsVersion, experts), coordinatorAddress);
+        }
+    }
+
+    private @Nullable MapCoordinator coordinator() {
+        GroupShape known = shape;
+        if (coordinator == null && known != null && ranks > 1) {
+            coordinator = new MapCoordinator(ranks, known, log);
+        }
+        return coordinator;
+    }
+
+    private void coordinate(MapCoordinator running) {
+        RankState own = state;
+        String name = group;
+        if (own == null || name == null) {
+            return;
+        }
+        for (SwitchAction action : running.next(own, clock.steadyMs())) {
+            switch (action) {
+                case SwitchAction.Hold hold ->
+                    holds.give(new EngineOrder.Hold(hold.step()), own.epoch(), accepted -> {
+                        running.onHold(hold.step(), accepted, clock.steadyMs());
+                        report();
+                    });
+                case SwitchAction.Release release ->
+                    holds.give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> report());
+                case SwitchAction.Wish wanted -> {
+                    RankMessage message = new RankMessage.Wanted(name, own.epoch(), wanted.wish());
+                    peers.forEach(peer -> send(message, peer));
+                    onWish(own.epoch(), wanted.wish());
+                }
+            }
+        }
+        if (!running.active()) {
+            wish = null;
+        }
+    }
+
+    private void onWish(long epoch, RankWish wanted) {
+        wish = wanted;
+        wishEpoch = epoch;
+        followWish();
+    }
+
+    private void followWish() {
+        RankState current = state;
+        RankWish wanted = wish;
+        if (current == null || wanted == null || current.epoch() != wishEpoch) {
+            return;
+        }
+        if (EngineOrder.towards(current, wanted).isEmpty()) {
+            if (current.rank() != 0) {
+                wish = null;
+            }
+            return;
+        }
+        orders.follow(current, wanted, this::report);
+    }
+
+    private void readCounters() {
+        RankState current = state;
+        String name = group;
+        if (counting || current == null || name == null) {
+            return;
+        }
+        counting = true;
+        counters.call(HttpMethod.GET, dialect.countersTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
+            counting = false;
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    onCounters(name, current.rank(), dialect.readCounters(answer.body()));
+                } catch (IOException unreadable) {
+                    log.event("unreadable counters")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+        });
+    }
+
+    private void onCounters(String name, int rank, long[] values) {
+        MapCoordinator running = coordinator;
+        if (rank == 0) {
+            if (running != null) {
+                running.onCounters(0, 0, values, values.length, clock.steadyMs());
+            }
+            return;
+        }
+        InetSocketAddress address = coordinatorAddress;
+        for (int offset = 0; address != null && offset < values.length; offset += COUNTERS_A_DATAGRAM) {
+            long[] part =
+                    java.util.Arrays.copyOfRange(values, offset, Math.min(values.length, offset + COUNTERS_A_DATAGRAM));
+            send(new RankMessage.Counters(name, rank, values.length, offset, part), address);
+        }
+    }
+
+    private void sayHello() {
+        RankState current = state;
+        String name = group;
+        if (current != null && name != null && current.rank() == 0) {
+            peers.forEach(peer -> send(new RankMessage.Hello(name, 0, current.epoch()), peer));
+        }
+    }
+
+    private void send(RankMessage message, InetSocketAddress address) {
+        Channel open = channel;
+        if (open != null && open.isActive()) {
+            ByteBuf bytes = open.alloc().buffer();
+            RankMessage.write(bytes, message);
+            open.writeAndFlush(new DatagramPacket(bytes, address));
+        }
+    }
+
+    private void onMessage(RankMessage message, InetSocketAddress sender) {
+        RankState current = state;
+        if (current == null || !message.group().equals(group)) {
+            return;
+        }
+        MapCoordinator running = current.rank() == 0 ? coordinator() : null;
+        switch (message) {
+            case RankMessage.Hello hello -> {
+                if (hello.rank() == 0 && hello.epoch() == current.epoch()) {
+                    coordinatorAddress = sender;
+                }
+            }
+            case RankMessage.State told -> {
+                if (running != null) {
+                    RankState stamped = told.state().withReportedMs(clock.steadyMs());
+                    running.onState(stamped, told.heldMapVersion(), told.experts());
+                    if (running.active()) {
+                        coordinate(running);
+                    }
+                }
+            }
+            case RankMessage.Counters told -> {
+                if (running != null) {
+                    running.onCounters(told.rank(), told.offset(), told.values(), told.total(), clock.steadyMs());
+                }
+            }
+            case RankMessage.Wanted wanted -> {
+                if (current.rank() != 0) {
+                    onWish(wanted.epoch(), wanted.wish());
+                }
+            }
+        }
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                List<RankMessage> messages = new ArrayList<>();
+                RankMessage.read(packet.content()).ifPresent(messages::add);
+                messages.forEach(message -> onMessage(message, packet.sender()));
+            } catch (IndexOutOfBoundsException truncated) {
+                log.event("unreadable datagram")
+                        .field("sender", String.valueOf(packet.sender()))
+                        .write();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            log.event("datagram failed").field("reason", String.valueOf(cause)).write();
+        }
+    }
+}
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgentSettings.java
@@ -0,0 +1,19 @@
+package org.kingcuproad.gateway.rank;
+
+import java.net.InetSocketAddress;
+
+/**
+ * Settings of a rank agent.
+ *
+ * @param name name of the VM
+ * @param service service of the engine
+ * @param engineAddress address of the engine on the same VM
+ * @param agentAddress where datagrams of other agents arrive; the port is the same on all VMs
+ * @param storeAddress address of the object store
+ */
+public record RankAgentSettings(
+        String name,
+        String service,
+        InetSocketAddress engineAddress,
+        InetSocketAddress agentAddress,
+        InetSocketAddress storeAddress) {}
