Repeat wishes to ranks at a bounded rate

Cause: each state of a rank made the coordinator send the whole map to all ranks; its link of 14 Mbit/s fell 200 ms behind, and the group stood still.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -25,10 +25,10 @@
     private static final long PLAN_INTERVAL_MS = 200;
 
     /** Least reduction of the heaviest rank's load, in mean loads, that pays for the copy of one expert. */
-    private static final double LEAST_GAIN_PER_COPY = 0.012;
+    private static final double LEAST_GAIN_PER_COPY = 0.015;
 
     /** Least reduction summed over the sets that pays for a change at all. */
-    private static final double LEAST_GAIN = 0.12;
+    private static final double LEAST_GAIN = 0.3;
 
     /** Recent choices below which the loads say little; a request of usual size makes some ten thousand. */
     private static final double LEAST_CHOICES = 500_000;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -46,6 +46,9 @@
     /** While a map is changed the group may stand still, so states are read more often. */
     private static final long ACTIVE_REPORT_MS = 20;
 
+    /** A wish holds a whole map, and the link of an engine's VM is narrow; a lost datagram is replaced this soon. */
+    private static final long WISH_REPEAT_MS = 60;
+
     private static final long COUNTERS_MS = 200;
     private static final long HELLO_MS = 1_000;
     private static final long LISTING_MS = 5_000;
@@ -81,6 +84,7 @@
     private int[][] experts = new int[0][];
     private @Nullable RankWish wish;
     private long wishEpoch;
+    private long wishToldMs = Long.MIN_VALUE / 2;
     private long reportedMs = Long.MIN_VALUE / 2;
     private boolean reporting;
     private boolean counting;
@@ -326,11 +330,7 @@
                     });
                 case SwitchAction.Release release ->
                     holds.give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> report());
-                case SwitchAction.Wish wanted -> {
-                    RankMessage message = new RankMessage.Wanted(name, own.epoch(), wanted.wish());
-                    peers.forEach(peer -> send(message, peer));
-                    onWish(own.epoch(), wanted.wish());
-                }
+                case SwitchAction.Wish wanted -> tellWish(name, own.epoch(), wanted.wish());
             }
         }
         if (!running.active()) {
@@ -338,6 +338,17 @@
         }
     }
 
+    private void tellWish(String name, long epoch, RankWish wanted) {
+        long nowMs = clock.steadyMs();
+        boolean repeated = wish != null && wish.sameAs(wanted);
+        if (!repeated || nowMs - wishToldMs >= WISH_REPEAT_MS) {
+            wishToldMs = nowMs;
+            RankMessage message = new RankMessage.Wanted(name, epoch, wanted);
+            peers.forEach(peer -> send(message, peer));
+        }
+        onWish(epoch, wanted);
+    }
+
     private void onWish(long epoch, RankWish wanted) {
         wish = wanted;
         wishEpoch = epoch;
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/RankWish.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/RankWish.java
@@ -10,6 +10,16 @@
      */
     long version();
 
+    /**
+     * Tells whether another wish asks for the same; a version stands for one map.
+     *
+     * @param other the other wish
+     * @return {@code true} if kind and version are the same
+     */
+    default boolean sameAs(RankWish other) {
+        return getClass().equals(other.getClass()) && version() == other.version();
+    }
+
     /**
      * The rank has a map ready.
      *
