--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -18,8 +18,14 @@
 /** Decides at rank 0 when the group changes its map, and to which. */
 final class MapCoordinator {
 
-    /** Popularity shifts every few seconds on the worst days; a shorter memory follows single requests. */
-    private static final double LOAD_HALF_LIFE_MS = 700;
+    /** Long memory, for times without a shift: a shorter one follows single requests. */
+    private static final double LONG_HALF_LIFE_MS = 2_000;
+
+    /** Short memory, for the time after a shift of popularity; on the worst days one comes every few seconds. */
+    private static final double SHORT_HALF_LIFE_MS = 500;
+
+    /** Difference of the heaviest loads by short and long memory, in mean loads a set, that shows a shift. */
+    private static final double SHIFT = 0.2;
 
     /** Least time between two plans; a plan takes some milliseconds of a small processor. */
     private static final long PLAN_INTERVAL_MS = 200;
@@ -37,7 +43,8 @@
     private final GroupShape shape;
     private final DecisionLog log;
     private final PassSwitch passSwitch;
-    private final ExpertLoads loads = new ExpertLoads(LOAD_HALF_LIFE_MS);
+    private final ExpertLoads longLoads = new ExpertLoads(LONG_HALF_LIFE_MS);
+    private final ExpertLoads shortLoads = new ExpertLoads(SHORT_HALF_LIFE_MS);
     private final SortedMap<Integer, Held> held = new TreeMap<>();
     private long plannedMs = Long.MIN_VALUE / 2;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
@@ -61,7 +68,8 @@
     }
 
     void onCounters(int rank, int offset, long[] values, int total, long nowMs) {
-        loads.onCounters(rank, offset, values, total, nowMs);
+        longLoads.onCounters(rank, offset, values, total, nowMs);
+        shortLoads.onCounters(rank, offset, values, total, nowMs);
     }
 
     void onHold(long step, boolean accepted, long nowMs) {
@@ -97,23 +105,22 @@
     }
 
     private void plan(ExpertLists current, long nowMs) {
-        if (loads.total() < LEAST_CHOICES || current.sets() != shape.sets()) {
+        if (shortLoads.total() < LEAST_CHOICES || current.sets() != shape.sets()) {
             return;
         }
+        boolean shifted = heaviest(current, shortLoads) - heaviest(current, longLoads) > SHIFT * shape.sets();
+        ExpertLoads loads = shifted ? shortLoads : longLoads;
         ExpertLists planned = current;
-        double before = 0;
-        double after = 0;
         for (int set = 0; set < shape.sets(); set++) {
-            double[] counts = loads.ofSet(set, shape.experts());
-            int[][] byRank = byRank(current, set);
-            int[][] better = ReplicaPlanner.plan(shape, byRank, counts, LEAST_GAIN_PER_COPY);
-            before += ReplicaPlanner.heaviestLoad(shape, byRank, counts);
-            after += ReplicaPlanner.heaviestLoad(shape, better, counts);
-            planned = planned.withSet(set, better);
+            planned = planned.withSet(
+                    set,
+                    ReplicaPlanner.plan(
+                            shape, byRank(current, set), loads.ofSet(set, shape.experts()), LEAST_GAIN_PER_COPY));
         }
+        double before = heaviest(current, loads);
+        double after = heaviest(planned, loads);
         int copies = planned.copiesFrom(current);
-        boolean worthwhile = before - after >= LEAST_GAIN && copies > 0;
-        if (!worthwhile) {
+        if (before - after < LEAST_GAIN) {
             return;
         }
         long version = passSwitch.newVersion(ThreadLocalRandom.current().nextInt());
@@ -122,11 +129,20 @@
                 .field("copies", copies)
                 .field("heaviestBeforePercent", Math.round(before / shape.sets() * 100))
                 .field("heaviestAfterPercent", Math.round(after / shape.sets() * 100))
+                .field("shifted", shifted)
                 .field("choices", Math.round(loads.total()))
                 .write();
         passSwitch.begin(version, planned, nowMs);
     }
 
+    /** Returns the load of the heaviest rank, in mean loads, summed over the sets. */
+    private double heaviest(ExpertLists lists, ExpertLoads loads) {
+        return IntStream.range(0, shape.sets())
+                .mapToDouble(set -> ReplicaPlanner.heaviestLoad(
+                        shape, byRank(lists, set), loads.ofSet(set, shape.experts())))
+                .sum();
+    }
+
     private static int[][] byRank(ExpertLists lists, int set) {
         return IntStream.range(0, lists.ranks())
                 .mapToObj(rank -> lists.experts(set, rank))
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
@@ -17,8 +17,14 @@
 /** Gives orders to the engine on the same VM, one at a time. */
 final class RankOrders {
 
-    /** The engine answers within a few milliseconds; an order without an answer may still be carried out later. */
-    private static final long TIMEOUT_MS = 100;
+    /**
+     * The engine on the same VM answers within some milliseconds, and the group may stand still until the order is
+     * repeated. An order without an answer may still be carried out later, which does no harm.
+     */
+    private static final long TIMEOUT_MS = 25;
+
+    /** An order with a whole map takes longer to read, and nothing waits for it. */
+    private static final long PREPARE_TIMEOUT_MS = 100;
 
     /** Copies take some tens of milliseconds for each expert; the order is repeated if they are not ready then. */
     private static final long COPY_MS = 1_500;
@@ -73,8 +79,9 @@
             return;
         }
         busy = true;
+        long timeoutMs = order instanceof EngineOrder.Prepare ? PREPARE_TIMEOUT_MS : TIMEOUT_MS;
         connection.call(
-                HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), TIMEOUT_MS, reply -> {
+                HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), timeoutMs, reply -> {
                     busy = false;
                     String outcome =
                             switch (reply) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -29,10 +29,13 @@
     private static final long ARM_LIMIT_MS = 500;
 
     /** A hold order without an answer in this time is treated as lost, and its late effect is undone. */
-    private static final long HOLD_LIMIT_MS = 150;
+    private static final long HOLD_LIMIT_MS = 60;
 
-    /** Passes between the last one begun and the one that is held, so that the order arrives before it begins. */
-    private static final long HOLD_AHEAD = 2;
+    /**
+     * Passes between the last one begun and the one that is held. All ranks can be armed in that time even if some
+     * orders are lost, so the group seldom stands still.
+     */
+    private static final long HOLD_AHEAD = 4;
 
     /** Phases of a change. */
     public enum Phase {
