--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -9,6 +9,7 @@
 import org.kingcuproad.policy.lockstep.ExpertLists;
 import org.kingcuproad.policy.lockstep.ExpertLoads;
 import org.kingcuproad.policy.lockstep.GroupShape;
+import org.kingcuproad.policy.lockstep.PassPace;
 import org.kingcuproad.policy.lockstep.PassSwitch;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.policy.lockstep.ReplicaPlanner;
@@ -36,6 +37,15 @@
     /** Least reduction summed over the sets that pays for a change at all. */
     private static final double LEAST_GAIN = 0.3;
 
+    /** Passes below this length leave room below the longest pause that callers accept, in milliseconds. */
+    private static final double CALM_PASS_MS = 50;
+
+    /** Passes of this length are near that pause when a long prompt is read, in milliseconds. */
+    private static final double TIGHT_PASS_MS = 80;
+
+    /** Least worth of a better map, so that a very uneven map is still mended in calm times. */
+    private static final double LEAST_PRESSURE = 0.15;
+
     /** Recent choices below which the loads say little; a request of usual size makes some ten thousand. */
     private static final double LEAST_CHOICES = 500_000;
 
@@ -46,6 +56,7 @@
     private final ExpertLoads longLoads = new ExpertLoads(LONG_HALF_LIFE_MS);
     private final ExpertLoads shortLoads = new ExpertLoads(SHORT_HALF_LIFE_MS);
     private final SortedMap<Integer, Held> held = new TreeMap<>();
+    private final PassPace pace = new PassPace(CALM_PASS_MS, TIGHT_PASS_MS, LEAST_PRESSURE);
     private long plannedMs = Long.MIN_VALUE / 2;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
 
@@ -64,6 +75,9 @@
 
     void onState(RankState state, long heldMapVersion, int[][] experts) {
         passSwitch.onState(state);
+        if (state.rank() == 0) {
+            pace.onStep(state.step(), state.reportedMs());
+        }
         held.put(state.rank(), new Held(state.epoch(), heldMapVersion, experts));
     }
 
@@ -110,17 +124,18 @@
         }
         boolean shifted = heaviest(current, shortLoads) - heaviest(current, longLoads) > SHIFT * shape.sets();
         ExpertLoads loads = shifted ? shortLoads : longLoads;
+        double pressure = pace.pressure();
         ExpertLists planned = current;
         for (int set = 0; set < shape.sets(); set++) {
             planned = planned.withSet(
                     set,
                     ReplicaPlanner.plan(
-                            shape, byRank(current, set), loads.ofSet(set, shape.experts()), LEAST_GAIN_PER_COPY));
+                            shape, byRank(current, set), loads.ofSet(set, shape.experts()), LEAST_GAIN_PER_COPY / pressure));
         }
         double before = heaviest(current, loads);
         double after = heaviest(planned, loads);
         int copies = planned.copiesFrom(current);
-        if (before - after < LEAST_GAIN) {
+        if (before - after < LEAST_GAIN / pressure) {
             return;
         }
         long version = passSwitch.newVersion(ThreadLocalRandom.current().nextInt());
@@ -130,6 +145,7 @@
                 .field("heaviestBeforePercent", Math.round(before / shape.sets() * 100))
                 .field("heaviestAfterPercent", Math.round(after / shape.sets() * 100))
                 .field("shifted", shifted)
+                .field("passMs", Math.round(pace.passMs()))
                 .field("choices", Math.round(loads.total()))
                 .write();
         passSwitch.begin(version, planned, nowMs);
