--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/Freshness.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/Freshness.java
@@ -13,7 +13,7 @@
     private static final double ACCEPT_SHARE = 0.9;
 
     /** Part of the time allowed for revocation after which the gateway asks for no new connections. */
-    private static final double READY_SHARE = 0.5;
+    private static final double READY_SHARE = 0.6;
 
     private final boolean strict;
     private final long revokeMs;
