End the hold of a silent coordinator from rank 1

Change: rank 1 joins the hold, clears all ranks and releases; engines of silent agents are read and ordered directly.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/EngineReport.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/EngineReport.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.gateway.rank;
 
 import java.util.Optional;
+import org.kingcuproad.policy.lockstep.RankState;
 
 /**
  * What an engine reports of itself.
@@ -20,6 +21,25 @@
         long armedVersion,
         long heldStep) {
 
+    /**
+     * Returns the state of the rank.
+     *
+     * @param nowMs time of the report, in milliseconds
+     * @return the state, or empty if the engine belongs to no group
+     */
+    public Optional<RankState> state(long nowMs) {
+        return place.map(found -> new RankState(
+                found.rank(),
+                found.epoch(),
+                found.open(),
+                step,
+                mapVersion,
+                preparedVersion,
+                armedVersion,
+                heldStep,
+                nowMs));
+    }
+
     /**
      * Place of an engine in a group.
      *
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
@@ -0,0 +1,130 @@
+package org.kingcuproad.gateway.rank;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.kingcuproad.gateway.HttpReply;
+import org.kingcuproad.gateway.SerialHttpConnection;
+import org.kingcuproad.gateway.StoreDialect;
+import org.kingcuproad.policy.gateway.GatewayConfiguration;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.lockstep.GroupShape;
+import org.kingcuproad.runtime.log.DecisionLog;
+
+/** What a rank agent knows from the store: the shape of its group and the VMs of the other engines of its service. */
+final class GroupDirectory {
+
+    /** Engines join a group rarely, and a new formation waits for its agents anyway. */
+    private static final long LISTING_MS = 5_000;
+
+    private static final long RETRY_MS = 1_000;
+    private static final long TIMEOUT_MS = 1_000;
+    private static final int STATUS_OK = 200;
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final RankAgentSettings settings;
+    private final StoreDialect<UpstreamEntry> register;
+    private final StoreDialect<GatewayConfiguration> configuration;
+    private final EventLoop eventLoop;
+    private final DecisionLog log;
+    private final SerialHttpConnection store;
+    private final Map<String, InetSocketAddress> engines = new HashMap<>();
+    private List<InetSocketAddress> peers = List.of();
+    private @Nullable GroupShape shape;
+
+    GroupDirectory(
+            RankAgentSettings settings,
+            StoreDialect<UpstreamEntry> register,
+            StoreDialect<GatewayConfiguration> configuration,
+            EventLoop eventLoop,
+            DecisionLog log) {
+        this.settings = settings;
+        this.register = register;
+        this.configuration = configuration;
+        this.eventLoop = eventLoop;
+        this.log = log;
+        this.store = new SerialHttpConnection(eventLoop, settings.storeAddress());
+    }
+
+    /** Reads the configuration until it tells the shape, then the register again and again. */
+    void start() {
+        store.call(HttpMethod.GET, configuration.listTarget(Optional.empty()), NO_BODY, TIMEOUT_MS, reply -> {
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    shape = configuration.readPage(answer.body()).objects().stream()
+                            .flatMap(object -> object.value().stream())
+                            .flatMap(current -> Optional.ofNullable(
+                                    current.services().get(settings.service()))
+                                    .stream())
+                            .flatMap(service -> service.shape().stream())
+                            .findFirst()
+                            .orElse(null);
+                } catch (IOException unreadable) {
+                    log.event("unreadable configuration")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+            if (shape == null) {
+                eventLoop.schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
+            } else {
+                readRegister();
+            }
+        });
+    }
+
+    private void readRegister() {
+        store.call(HttpMethod.GET, register.relaxedListTarget(), NO_BODY, TIMEOUT_MS, reply -> {
+            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+                try {
+                    onRegister(register.readPage(answer.body()).objects().stream()
+                            .flatMap(object -> object.value().stream())
+                            .filter(entry -> entry.service().equals(settings.service()))
+                            .toList());
+                } catch (IOException unreadable) {
+                    log.event("unreadable register")
+                            .field("reason", String.valueOf(unreadable))
+                            .write();
+                }
+            }
+            eventLoop.schedule(this::readRegister, LISTING_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void onRegister(List<UpstreamEntry> entries) {
+        engines.clear();
+        entries.forEach(entry -> engines.put(entry.host(), new InetSocketAddress(entry.host(), entry.port())));
+        peers = entries.stream()
+                .map(UpstreamEntry::host)
+                .filter(host -> !host.equals(settings.agentAddress().getHostString()))
+                .distinct()
+                .map(host ->
+                        new InetSocketAddress(host, settings.agentAddress().getPort()))
+                .toList();
+    }
+
+    Optional<GroupShape> shape() {
+        return Optional.ofNullable(shape);
+    }
+
+    /** Returns the addresses of the other agents of the service. */
+    List<InetSocketAddress> peers() {
+        return peers;
+    }
+
+    /** Returns the engine beside an agent. */
+    Optional<InetSocketAddress> engineBeside(InetSocketAddress agent) {
+        return Optional.ofNullable(engines.get(agent.getHostString()));
+    }
+
+    void close() {
+        store.close();
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -1,6 +1,8 @@
 package org.kingcuproad.gateway.rank;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -16,7 +18,10 @@
 import org.kingcuproad.policy.lockstep.SwitchAction;
 import org.kingcuproad.runtime.log.DecisionLog;
 
-/** Decides at rank 0 when the group changes its map, and to which. */
+/**
+ * Decides when the group changes its map, and to which. The one of rank 0 does so; the one of rank 1 only ends a hold that
+ * the agent of rank 0 left behind.
+ */
 final class MapCoordinator {
 
     /** Long memory, for times without a shift: a shorter one follows single requests. */
@@ -49,7 +54,14 @@
     /** Recent choices below which the loads say little; a request of usual size makes some ten thousand. */
     private static final double LEAST_CHOICES = 500_000;
 
+    /** A rank's agent tells its state several times in this time. */
+    private static final long SILENT_MS = 150;
+
+    /** Silence of rank 0 after which rank 1 looks for a hold; longer than a single lost or late message. */
+    private static final long RESCUE_MS = 300;
+
     private final int ranks;
+    private final int ownRank;
     private final GroupShape shape;
     private final DecisionLog log;
     private final PassSwitch passSwitch;
@@ -60,13 +72,16 @@
     private long plannedMs = Long.MIN_VALUE / 2;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
 
+    private final Map<Integer, Long> heardMs = new HashMap<>();
+
     private record Held(long epoch, long mapVersion, int[][] bySet) {}
 
-    MapCoordinator(int ranks, GroupShape shape, DecisionLog log) {
+    MapCoordinator(int ranks, int ownRank, GroupShape shape, DecisionLog log) {
         this.ranks = ranks;
+        this.ownRank = ownRank;
         this.shape = shape;
         this.log = log;
-        this.passSwitch = new PassSwitch(ranks);
+        this.passSwitch = new PassSwitch(ranks, ownRank);
     }
 
     boolean active() {
@@ -75,12 +90,40 @@
 
     void onState(RankState state, long heldMapVersion, int[][] experts) {
         passSwitch.onState(state);
+        heardMs.put(state.rank(), state.reportedMs());
         if (state.rank() == 0) {
             pace.onStep(state.step(), state.reportedMs());
         }
         held.put(state.rank(), new Held(state.epoch(), heldMapVersion, experts));
     }
 
+    /** Takes a state that was read at the engine of a silent rank. */
+    void onProxied(RankState state, long nowMs) {
+        passSwitch.onState(state);
+        if (rankZeroSilent(nowMs) && state.rank() == 0 && state.heldStep() != RankState.NONE && !active()) {
+            log.event("hold of a silent coordinator found")
+                    .field("step", state.heldStep())
+                    .field("silentMs", nowMs - heardMs.getOrDefault(0, 0L))
+                    .write();
+            passSwitch.rescue(state.heldStep(), nowMs);
+        }
+    }
+
+    /** Returns the ranks whose agents have been silent for so long that this agent acts at their engines. */
+    List<Integer> silentRanks(long nowMs) {
+        if (!active()) {
+            return rankZeroSilent(nowMs) ? List.of(0) : List.of();
+        }
+        return IntStream.range(0, ranks)
+                .filter(rank -> rank != ownRank && nowMs - heardMs.getOrDefault(rank, 0L) > SILENT_MS)
+                .boxed()
+                .toList();
+    }
+
+    private boolean rankZeroSilent(long nowMs) {
+        return ownRank == 1 && heardMs.containsKey(0) && nowMs - heardMs.getOrDefault(0, 0L) > RESCUE_MS;
+    }
+
     void onCounters(int rank, int offset, long[] values, int total, long nowMs) {
         longLoads.onCounters(rank, offset, values, total, nowMs);
         shortLoads.onCounters(rank, offset, values, total, nowMs);
@@ -90,10 +133,10 @@
         passSwitch.onHold(step, accepted, nowMs);
     }
 
-    /** Returns what to do now; {@code own} is the state of rank 0. */
+    /** Returns what to do now; {@code own} is the state of the own rank. */
     List<SwitchAction> next(RankState own, long nowMs) {
         Optional<ExpertLists> current = current(own);
-        if (current.isPresent() && nowMs - plannedMs >= PLAN_INTERVAL_MS && passSwitch.mayBegin(nowMs)) {
+        if (ownRank == 0 && current.isPresent() && nowMs - plannedMs >= PLAN_INTERVAL_MS && passSwitch.mayBegin(nowMs)) {
             plannedMs = nowMs;
             plan(current.get(), nowMs);
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -15,7 +15,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +28,6 @@
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.lockstep.EngineOrder;
-import org.kingcuproad.policy.lockstep.GroupShape;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.policy.lockstep.RankWish;
 import org.kingcuproad.policy.lockstep.SwitchAction;
@@ -51,33 +52,32 @@
 
     private static final long COUNTERS_MS = 200;
     private static final long HELLO_MS = 1_000;
-    private static final long LISTING_MS = 5_000;
     private static final long CALL_TIMEOUT_MS = 300;
-    private static final long STORE_TIMEOUT_MS = 1_000;
     private static final int STATUS_OK = 200;
     private static final int MAX_DATAGRAM_BYTES = 16 << 10;
     private static final int COUNTERS_A_DATAGRAM = 288;
+
+    /** Rank 0 decides, rank 1 ends a hold that rank 0 left behind. */
+    private static final int DECIDING_RANKS = 2;
+
     private static final byte[] NO_BODY = new byte[0];
 
     private final RankAgentSettings settings;
     private final EngineDialect dialect;
-    private final StoreDialect<UpstreamEntry> register;
-    private final StoreDialect<GatewayConfiguration> configuration;
     private final EventLoop eventLoop;
     private final Clock clock;
     private final DecisionLog log;
     private final SerialHttpConnection reports;
     private final SerialHttpConnection counters;
-    private final SerialHttpConnection store;
+    private final GroupDirectory directory;
+    private final Map<Integer, InetSocketAddress> agents = new HashMap<>();
+    private final Map<Integer, RankProxy> proxies = new HashMap<>();
     private final RankOrders orders;
     private final RankOrders holds;
-    private List<InetSocketAddress> peers = List.of();
     private @Nullable Channel channel;
     private @Nullable RankState state;
     private @Nullable String group;
-    private @Nullable InetSocketAddress coordinatorAddress;
     private @Nullable MapCoordinator coordinator;
-    private @Nullable GroupShape shape;
     private int ranks;
     private long expertsEpoch = -1;
     private long expertsVersion = -1;
@@ -110,14 +110,12 @@
             DecisionLog log) {
         this.settings = settings;
         this.dialect = dialect;
-        this.register = register;
-        this.configuration = configuration;
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
         this.reports = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.counters = new SerialHttpConnection(eventLoop, settings.engineAddress());
-        this.store = new SerialHttpConnection(eventLoop, settings.storeAddress());
+        this.directory = new GroupDirectory(settings, register, configuration, eventLoop, log);
         this.orders = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log);
         this.holds = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log);
     }
@@ -135,7 +133,7 @@
             every(ACTIVE_REPORT_MS, this::reportIfDue);
             every(COUNTERS_MS, this::readCounters);
             every(HELLO_MS, this::sayHello);
-            readConfiguration();
+            directory.start();
             log.event("rank agent started").field("name", settings.name()).write();
         });
     }
@@ -146,7 +144,7 @@
             log.event("rank agent stopped").write();
             reports.close();
             counters.close();
-            store.close();
+            directory.close();
             orders.close();
             holds.close();
         });
@@ -156,55 +154,6 @@
         eventLoop.scheduleWithFixedDelay(step, 0, periodMs, TimeUnit.MILLISECONDS);
     }
 
-    private void readConfiguration() {
-        store.call(HttpMethod.GET, configuration.listTarget(Optional.empty()), NO_BODY, STORE_TIMEOUT_MS, reply -> {
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    shape = configuration.readPage(answer.body()).objects().stream()
-                            .flatMap(object -> object.value().stream())
-                            .flatMap(current -> Optional.ofNullable(
-                                    current.services().get(settings.service()))
-                                    .stream())
-                            .flatMap(service -> service.shape().stream())
-                            .findFirst()
-                            .orElse(null);
-                } catch (IOException unreadable) {
-                    log.event("unreadable configuration")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
-            if (shape == null) {
-                eventLoop.schedule(this::readConfiguration, HELLO_MS, TimeUnit.MILLISECONDS);
-            } else {
-                readRegister();
-            }
-        });
-    }
-
-    private void readRegister() {
-        String target = register.relaxedListTarget();
-        store.call(HttpMethod.GET, target, NO_BODY, STORE_TIMEOUT_MS, reply -> {
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    peers = register.readPage(answer.body()).objects().stream()
-                            .flatMap(object -> object.value().stream())
-                            .filter(entry -> entry.service().equals(settings.service()))
-                            .map(UpstreamEntry::host)
-                            .filter(host -> !host.equals(settings.agentAddress().getHostString()))
-                            .map(host -> new InetSocketAddress(
-                                    host, settings.agentAddress().getPort()))
-                            .toList();
-                } catch (IOException unreadable) {
-                    log.event("unreadable register")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
-            eventLoop.schedule(this::readRegister, LISTING_MS, TimeUnit.MILLISECONDS);
-        });
-    }
-
     private void reportIfDue() {
         MapCoordinator running = coordinator;
         boolean active = wish != null || (running != null && running.active());
@@ -241,7 +190,9 @@
         RankState known = state;
         if (known == null || known.epoch() != place.epoch() || known.rank() != place.rank()) {
             wish = null;
-            coordinatorAddress = null;
+            agents.clear();
+            proxies.values().forEach(RankProxy::close);
+            proxies.clear();
             log.event("place in group")
                     .field("group", place.group())
                     .field("rank", place.rank())
@@ -251,16 +202,7 @@
             group = place.group();
             coordinator = null;
         }
-        RankState current = new RankState(
-                place.rank(),
-                place.epoch(),
-                place.open(),
-                report.step(),
-                report.mapVersion(),
-                report.preparedVersion(),
-                report.armedVersion(),
-                report.heldStep(),
-                clock.steadyMs());
+        RankState current = report.state(clock.steadyMs()).orElseThrow();
         state = current;
         if (expertsEpoch != current.epoch() || expertsVersion != current.mapVersion()) {
             readExperts(current.epoch());
@@ -296,21 +238,26 @@
         if (name == null || expertsEpoch != current.epoch()) {
             return;
         }
-        if (current.rank() == 0) {
-            MapCoordinator running = coordinator();
-            if (running != null) {
-                running.onState(current, expertsVersion, experts);
-                coordinate(running);
+        for (int rank = 0; rank < DECIDING_RANKS; rank++) {
+            InetSocketAddress address = agents.get(rank);
+            if (rank != current.rank() && address != null) {
+                send(new RankMessage.State(name, current, expertsVersion, experts), address);
             }
-        } else if (coordinatorAddress != null) {
-            send(new RankMessage.State(name, current, expertsVersion, experts), coordinatorAddress);
+        }
+        MapCoordinator running = coordinator();
+        if (running != null) {
+            running.onState(current, expertsVersion, experts);
+            coordinate(running);
         }
     }
 
     private @Nullable MapCoordinator coordinator() {
-        GroupShape known = shape;
-        if (coordinator == null && known != null && ranks > 1) {
-            coordinator = new MapCoordinator(ranks, known, log);
+        RankState current = state;
+        if (coordinator == null && current != null && current.rank() < DECIDING_RANKS && ranks > 1) {
+            coordinator = directory
+                    .shape()
+                    .map(shape -> new MapCoordinator(ranks, current.rank(), shape, log))
+                    .orElse(null);
         }
         return coordinator;
     }
@@ -330,12 +277,33 @@
                     });
                 case SwitchAction.Release release ->
                     holds.give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> report());
+                case SwitchAction.ReleaseCoordinator release ->
+                    proxy(0).ifPresent(proxy -> proxy.orders()
+                            .give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> {}));
                 case SwitchAction.Wish wanted -> tellWish(name, own.epoch(), wanted.wish());
             }
         }
-        if (!running.active()) {
+        if (!running.active() && own.rank() == 0) {
             wish = null;
         }
+        running.silentRanks(clock.steadyMs()).forEach(rank -> actFor(rank, running));
+    }
+
+    private void actFor(int rank, MapCoordinator running) {
+        proxy(rank).ifPresent(proxy -> proxy.poll(found -> {
+            running.onProxied(found, clock.steadyMs());
+            RankWish wanted = wish;
+            if (running.active() && wanted != null && found.epoch() == wishEpoch) {
+                proxy.orders().follow(found, wanted, () -> {});
+            }
+        }));
+    }
+
+    private Optional<RankProxy> proxy(int rank) {
+        return Optional.ofNullable(agents.get(rank))
+                .flatMap(directory::engineBeside)
+                .map(engine -> proxies.computeIfAbsent(
+                        rank, unused -> new RankProxy(rank, dialect, eventLoop, engine, clock, log)));
     }
 
     private void tellWish(String name, long epoch, RankWish wanted) {
@@ -344,7 +312,7 @@
         if (!repeated || nowMs - wishToldMs >= WISH_REPEAT_MS) {
             wishToldMs = nowMs;
             RankMessage message = new RankMessage.Wanted(name, epoch, wanted);
-            peers.forEach(peer -> send(message, peer));
+            directory.peers().forEach(peer -> send(message, peer));
         }
         onWish(epoch, wanted);
     }
@@ -362,7 +330,8 @@
             return;
         }
         if (EngineOrder.towards(current, wanted).isEmpty()) {
-            if (current.rank() != 0) {
+            MapCoordinator running = coordinator;
+            if (running == null || !running.active()) {
                 wish = null;
             }
             return;
@@ -399,7 +368,7 @@
             }
             return;
         }
-        InetSocketAddress address = coordinatorAddress;
+        InetSocketAddress address = agents.get(0);
         for (int offset = 0; address != null && offset < values.length; offset += COUNTERS_A_DATAGRAM) {
             long[] part =
                     java.util.Arrays.copyOfRange(values, offset, Math.min(values.length, offset + COUNTERS_A_DATAGRAM));
@@ -410,8 +379,9 @@
     private void sayHello() {
         RankState current = state;
         String name = group;
-        if (current != null && name != null && current.rank() == 0) {
-            peers.forEach(peer -> send(new RankMessage.Hello(name, 0, current.epoch()), peer));
+        if (current != null && name != null) {
+            RankMessage hello = new RankMessage.Hello(name, current.rank(), current.epoch());
+            directory.peers().forEach(peer -> send(hello, peer));
         }
     }
 
@@ -429,11 +399,11 @@
         if (current == null || !message.group().equals(group)) {
             return;
         }
-        MapCoordinator running = current.rank() == 0 ? coordinator() : null;
+        MapCoordinator running = coordinator();
         switch (message) {
             case RankMessage.Hello hello -> {
-                if (hello.rank() == 0 && hello.epoch() == current.epoch()) {
-                    coordinatorAddress = sender;
+                if (hello.epoch() == current.epoch()) {
+                    agents.put(hello.rank(), sender);
                 }
             }
             case RankMessage.State told -> {
@@ -451,7 +421,7 @@
                 }
             }
             case RankMessage.Wanted wanted -> {
-                if (current.rank() != 0) {
+                if (running == null || !running.active()) {
                     onWish(wanted.epoch(), wanted.wish());
                 }
             }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -12,8 +12,13 @@
  * <p>Orders may get no answer and be carried out seconds later, and ranks don't check who gives them. The rule that
  * keeps passes uniform is: ranks are armed only for a pass that is held, and the hold ends only when all ranks are armed
  * for that pass, or when all are armed for nothing and every earlier order is void ({@link RankWish.Cleared}). The
- * coordinator is the agent of rank 0, the only process that holds passes, and holds them at its own rank; so there are
- * never two. When it starts again it finds its hold in the rank's state and ends it by clearing.
+ * coordinator is the agent of rank 0 and holds passes at its own rank. When it starts again it finds its hold in the
+ * rank's state and ends it by clearing.
+ *
+ * <p>When the coordinator falls silent while a pass is held, the agent of rank 1 ends the hold ({@link #rescue}). It
+ * first holds the same pass at its own rank, so that the group can't begin it although the coordinator may come back
+ * and release it; then it clears all ranks; then it releases both holds. A coordinator that comes back holds only later
+ * passes, so the release of the old one can't touch them.
  *
  * <p>An object belongs to one event loop. It is fed with the states of the ranks and asked by {@link #next} what to do.
  */
@@ -52,6 +57,9 @@
         /** Ranks are armed for the held pass. */
         ARMING,
 
+        /** The pass that a silent coordinator holds is being held at this rank too. */
+        JOINING,
+
         /** Ranks are brought back to the map in use. */
         CLEARING,
 
@@ -60,6 +68,7 @@
     }
 
     private final int ranks;
+    private final int ownRank;
     private final TreeMap<Integer, RankState> states = new TreeMap<>();
     private Phase phase = Phase.IDLE;
     private long phaseSinceMs;
@@ -70,14 +79,17 @@
     private long holdSentMs;
     private long nextHoldStep;
     private boolean armsUncertain = true;
+    private boolean rescuing;
 
     /**
      * Creates a coordinator that knows nothing of earlier ones.
      *
      * @param ranks number of ranks of the group
+     * @param ownRank rank of the agent that this object belongs to
      */
-    public PassSwitch(int ranks) {
+    public PassSwitch(int ranks, int ownRank) {
         this.ranks = ranks;
+        this.ownRank = ownRank;
     }
 
     /**
@@ -108,7 +120,7 @@
      * @return {@code true} if all ranks are known, work with the same map, and are neither armed nor held
      */
     public boolean mayBegin(long nowMs) {
-        RankState own = states.get(0);
+        RankState own = states.get(ownRank);
         return phase == Phase.IDLE
                 && own != null
                 && own.open()
@@ -142,7 +154,7 @@
      * @param nowMs current time, in milliseconds
      */
     public void begin(long newVersion, ExpertLists map, long nowMs) {
-        RankState own = states.get(0);
+        RankState own = states.get(ownRank);
         if (own == null || !mayBegin(nowMs)) {
             throw new IllegalStateException("the group is not ready for a change");
         }
@@ -154,6 +166,24 @@
         enter(Phase.PREPARING, nowMs);
     }
 
+    /**
+     * Begins to end the hold of a silent coordinator.
+     *
+     * @param step the pass that rank 0 holds
+     * @param nowMs current time, in milliseconds
+     */
+    public void rescue(long step, long nowMs) {
+        RankState own = states.get(ownRank);
+        if (own == null || phase != Phase.IDLE || own.step() >= step) {
+            return;
+        }
+        epoch = own.epoch();
+        nextHoldStep = step;
+        holdSentMs = Long.MIN_VALUE / 2;
+        rescuing = true;
+        enter(Phase.JOINING, nowMs);
+    }
+
     /**
      * Takes the answer to a hold.
      *
@@ -162,6 +192,12 @@
      * @param nowMs current time, in milliseconds
      */
     public void onHold(long step, boolean accepted, long nowMs) {
+        if (phase == Phase.JOINING && step == nextHoldStep) {
+            heldStep = step;
+            enter(accepted ? Phase.CLEARING : Phase.IDLE, nowMs);
+            version = RankState.NONE;
+            return;
+        }
         if (phase != Phase.HOLDING || step != nextHoldStep) {
             return;
         }
@@ -183,7 +219,7 @@
      * @return the actions; wishes are repeated until they are fulfilled
      */
     public List<SwitchAction> next(Optional<ExpertLists> current, int random, long nowMs) {
-        RankState own = states.get(0);
+        RankState own = states.get(ownRank);
         if (own == null) {
             return List.of();
         }
@@ -197,7 +233,8 @@
             case PREPARING -> whenPreparing(own, nowMs);
             case HOLDING -> whenHolding(own, nowMs);
             case ARMING -> whenArming(current, random, nowMs);
-            case CLEARING -> whenClearing(nowMs);
+            case JOINING -> whenJoining(own, nowMs);
+            case CLEARING -> version == RankState.NONE ? startClearing(current, random, nowMs) : whenClearing(nowMs);
             case RELEASING -> whenReleasing(own, nowMs);
         };
     }
@@ -251,6 +288,18 @@
         return List.of(new SwitchAction.Hold(nextHoldStep));
     }
 
+    private List<SwitchAction> whenJoining(RankState own, long nowMs) {
+        if (own.step() >= nextHoldStep) {
+            enter(Phase.IDLE, nowMs);
+            return List.of();
+        }
+        if (nowMs - holdSentMs < HOLD_LIMIT_MS) {
+            return List.of();
+        }
+        holdSentMs = nowMs;
+        return List.of(new SwitchAction.Hold(nextHoldStep));
+    }
+
     private List<SwitchAction> whenArming(Optional<ExpertLists> current, int random, long nowMs) {
         if (all(nowMs, state -> state.armedVersion() == version)) {
             armsUncertain = false;
@@ -264,7 +313,8 @@
     }
 
     private List<SwitchAction> whenClearing(long nowMs) {
-        if (all(nowMs, state -> state.preparedVersion() == version && state.armedVersion() == RankState.NONE)) {
+        // A newer prepared version makes the orders of this change void as well.
+        if (all(nowMs, state -> state.preparedVersion() >= version && state.armedVersion() == RankState.NONE)) {
             armsUncertain = false;
             enter(Phase.RELEASING, nowMs);
             return List.of(new SwitchAction.Release(heldStep));
@@ -274,16 +324,24 @@
     }
 
     private List<SwitchAction> whenReleasing(RankState own, long nowMs) {
-        boolean released = own.heldStep() != heldStep && own.reportedMs() > phaseSinceMs;
-        if (released) {
+        RankState coordinator = states.get(0);
+        boolean ownReleased = own.heldStep() != heldStep && own.reportedMs() > phaseSinceMs;
+        boolean otherReleased = !rescuing
+                || coordinator == null
+                || (coordinator.heldStep() != heldStep && coordinator.reportedMs() > phaseSinceMs)
+                || own.step() >= heldStep;
+        if (ownReleased && otherReleased) {
             enter(Phase.IDLE, nowMs);
             return List.of();
         }
+        if (ownReleased) {
+            return List.of(new SwitchAction.ReleaseCoordinator(heldStep));
+        }
         return List.of(new SwitchAction.Release(heldStep));
     }
 
     private boolean all(long nowMs, Predicate<RankState> condition) {
-        RankState own = states.get(0);
+        RankState own = states.get(ownRank);
         return own != null
                 && states.size() >= ranks
                 && states.values().stream()
@@ -293,6 +351,7 @@
     }
 
     private void enter(Phase next, long nowMs) {
+        rescuing &= next != Phase.IDLE;
         phase = next;
         phaseSinceMs = nowMs;
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/SwitchAction.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/SwitchAction.java
@@ -17,6 +17,13 @@
      */
     record Release(long step) implements SwitchAction {}
 
+    /**
+     * Lets the group begin a pass that a silent coordinator holds at rank 0.
+     *
+     * @param step the pass
+     */
+    record ReleaseCoordinator(long step) implements SwitchAction {}
+
     /**
      * Tells all ranks what state they should be in.
      *
