Hold passes at rank 1 and arm rank 0 last

Change: the hold is at another rank than the coordinator's. Rank 0 is armed last, so the agent of the held rank can clear the group without rank 0.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -57,7 +57,7 @@
     /** A rank's agent tells its state several times in this time. */
     private static final long SILENT_MS = 150;
 
-    /** Silence of rank 0 after which rank 1 looks for a hold; longer than a single lost or late message. */
+    /** Silence of rank 0 after which rank 1 ends its hold; longer than a single lost or late message. */
     private static final long RESCUE_MS = 300;
 
     private final int ranks;
@@ -98,21 +98,28 @@
     }
 
     /** Takes a state that was read at the engine of a silent rank. */
-    void onProxied(RankState state, long nowMs) {
+    void onProxied(RankState state) {
         passSwitch.onState(state);
-        if (rankZeroSilent(nowMs) && state.rank() == 0 && state.heldStep() != RankState.NONE && !active()) {
-            log.event("hold of a silent coordinator found")
-                    .field("step", state.heldStep())
-                    .field("silentMs", nowMs - heardMs.getOrDefault(0, 0L))
+    }
+
+    /** Tells whether the wish to be armed is for a rank already. */
+    boolean mayArm(int rank, long nowMs) {
+        return passSwitch.mayArm(rank, nowMs);
+    }
+
+    /** Ends the hold of a coordinator that has fallen silent. */
+    void rescueIfAbandoned(long nowMs) {
+        if (ownRank == PassSwitch.HOLDER && nowMs - heardMs.getOrDefault(0, nowMs) > RESCUE_MS && passSwitch.rescue(nowMs)) {
+            log.event("ending the hold of a silent coordinator")
+                    .field("silentMs", nowMs - heardMs.getOrDefault(0, nowMs))
                     .write();
-            passSwitch.rescue(state.heldStep(), nowMs);
         }
     }
 
     /** Returns the ranks whose agents have been silent for so long that this agent acts at their engines. */
     List<Integer> silentRanks(long nowMs) {
         if (!active()) {
-            return rankZeroSilent(nowMs) ? List.of(0) : List.of();
+            return List.of();
         }
         return IntStream.range(0, ranks)
                 .filter(rank -> rank != ownRank && nowMs - heardMs.getOrDefault(rank, 0L) > SILENT_MS)
@@ -120,10 +127,6 @@
                 .toList();
     }
 
-    private boolean rankZeroSilent(long nowMs) {
-        return ownRank == 1 && heardMs.containsKey(0) && nowMs - heardMs.getOrDefault(0, 0L) > RESCUE_MS;
-    }
-
     void onCounters(int rank, int offset, long[] values, int total, long nowMs) {
         longLoads.onCounters(rank, offset, values, total, nowMs);
         shortLoads.onCounters(rank, offset, values, total, nowMs);
@@ -133,6 +136,10 @@
         passSwitch.onHold(step, accepted, nowMs);
     }
 
+    void onRelease(long step, boolean accepted, long nowMs) {
+        passSwitch.onRelease(step, accepted, nowMs);
+    }
+
     /** Returns what to do now; {@code own} is the state of the own rank. */
     List<SwitchAction> next(RankState own, long nowMs) {
         Optional<ExpertLists> current = current(own);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -28,6 +28,7 @@
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.lockstep.EngineOrder;
+import org.kingcuproad.policy.lockstep.PassSwitch;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.policy.lockstep.RankWish;
 import org.kingcuproad.policy.lockstep.SwitchAction;
@@ -84,6 +85,7 @@
     private int[][] experts = new int[0][];
     private @Nullable RankWish wish;
     private long wishEpoch;
+    private boolean holderTurnTold;
     private long wishToldMs = Long.MIN_VALUE / 2;
     private long reportedMs = Long.MIN_VALUE / 2;
     private boolean reporting;
@@ -247,6 +249,7 @@
         MapCoordinator running = coordinator();
         if (running != null) {
             running.onState(current, expertsVersion, experts);
+            running.rescueIfAbandoned(clock.steadyMs());
             coordinate(running);
         }
     }
@@ -271,15 +274,16 @@
         for (SwitchAction action : running.next(own, clock.steadyMs())) {
             switch (action) {
                 case SwitchAction.Hold hold ->
-                    holds.give(new EngineOrder.Hold(hold.step()), own.epoch(), accepted -> {
+                    holder().ifPresent(orders -> orders.give(new EngineOrder.Hold(hold.step()), own.epoch(), accepted -> {
                         running.onHold(hold.step(), accepted, clock.steadyMs());
                         report();
-                    });
+                    }));
                 case SwitchAction.Release release ->
-                    holds.give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> report());
-                case SwitchAction.ReleaseCoordinator release ->
-                    proxy(0).ifPresent(proxy -> proxy.orders()
-                            .give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> {}));
+                    holder().ifPresent(orders ->
+                            orders.give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> {
+                                running.onRelease(release.step(), accepted, clock.steadyMs());
+                                report();
+                            }));
                 case SwitchAction.Wish wanted -> tellWish(name, own.epoch(), wanted.wish());
             }
         }
@@ -289,11 +293,20 @@
         running.silentRanks(clock.steadyMs()).forEach(rank -> actFor(rank, running));
     }
 
+    /** Returns who gives orders to the engine at which passes are held. */
+    private Optional<RankOrders> holder() {
+        RankState own = state;
+        return own != null && own.rank() == PassSwitch.HOLDER
+                ? Optional.of(holds)
+                : proxy(PassSwitch.HOLDER).map(RankProxy::orders);
+    }
+
     private void actFor(int rank, MapCoordinator running) {
         proxy(rank).ifPresent(proxy -> proxy.poll(found -> {
-            running.onProxied(found, clock.steadyMs());
+            running.onProxied(found);
             RankWish wanted = wish;
-            if (running.active() && wanted != null && found.epoch() == wishEpoch) {
+            boolean turn = !(wanted instanceof RankWish.Armed) || running.mayArm(rank, clock.steadyMs());
+            if (running.active() && wanted != null && turn && found.epoch() == wishEpoch) {
                 proxy.orders().follow(found, wanted, () -> {});
             }
         }));
@@ -309,10 +322,19 @@
     private void tellWish(String name, long epoch, RankWish wanted) {
         long nowMs = clock.steadyMs();
         boolean repeated = wish != null && wish.sameAs(wanted);
-        if (!repeated || nowMs - wishToldMs >= WISH_REPEAT_MS) {
+        boolean turnNow = coordinator != null && coordinator.mayArm(PassSwitch.HOLDER, nowMs);
+        boolean newTurn = wanted instanceof RankWish.Armed && turnNow && !holderTurnTold;
+        holderTurnTold = turnNow;
+        if (!repeated || newTurn || nowMs - wishToldMs >= WISH_REPEAT_MS) {
             wishToldMs = nowMs;
             RankMessage message = new RankMessage.Wanted(name, epoch, wanted);
-            directory.peers().forEach(peer -> send(message, peer));
+            MapCoordinator running = coordinator;
+            InetSocketAddress holder = agents.get(PassSwitch.HOLDER);
+            boolean holdersTurn = !(wanted instanceof RankWish.Armed)
+                    || (running != null && running.mayArm(PassSwitch.HOLDER, nowMs));
+            directory.peers().stream()
+                    .filter(peer -> holdersTurn || !peer.equals(holder))
+                    .forEach(peer -> send(message, peer));
         }
         onWish(epoch, wanted);
     }
@@ -329,6 +351,12 @@
         if (current == null || wanted == null || current.epoch() != wishEpoch) {
             return;
         }
+        boolean turn = !(wanted instanceof RankWish.Armed)
+                || current.rank() != 0
+                || (coordinator != null && coordinator.mayArm(0, clock.steadyMs()));
+        if (!turn) {
+            return;
+        }
         if (EngineOrder.towards(current, wanted).isEmpty()) {
             MapCoordinator running = coordinator;
             if (running == null || !running.active()) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -12,13 +12,11 @@
  * <p>Orders may get no answer and be carried out seconds later, and ranks don't check who gives them. The rule that
  * keeps passes uniform is: ranks are armed only for a pass that is held, and the hold ends only when all ranks are armed
  * for that pass, or when all are armed for nothing and every earlier order is void ({@link RankWish.Cleared}). The
- * coordinator is the agent of rank 0 and holds passes at its own rank. When it starts again it finds its hold in the
- * rank's state and ends it by clearing.
+ * coordinator is the agent of rank 0. It holds passes at rank 1, arms all other ranks, then rank 1, and its own rank last.
  *
- * <p>When the coordinator falls silent while a pass is held, the agent of rank 1 ends the hold ({@link #rescue}). It
- * first holds the same pass at its own rank, so that the group can't begin it although the coordinator may come back
- * and release it; then it clears all ranks; then it releases both holds. A coordinator that comes back holds only later
- * passes, so the release of the old one can't touch them.
+ * <p>A VM may freeze just after its agent gave an order, and then neither the agent nor the engine beside it answers. So
+ * the hold is at another rank than the coordinator's, and the agent of that rank can end it ({@link #rescue}): as long as
+ * rank 1 is not armed, rank 0 isn't either, and once rank 1 is cleared, rank 0 will not be. The other ranks are asked.
  *
  * <p>An object belongs to one event loop. It is fed with the states of the ranks and asked by {@link #next} what to do.
  */
@@ -42,6 +40,9 @@
      */
     private static final long HOLD_AHEAD = 4;
 
+    /** Rank at which passes are held. */
+    public static final int HOLDER = 1;
+
     /** Phases of a change. */
     public enum Phase {
 
@@ -57,9 +58,6 @@
         /** Ranks are armed for the held pass. */
         ARMING,
 
-        /** The pass that a silent coordinator holds is being held at this rank too. */
-        JOINING,
-
         /** Ranks are brought back to the map in use. */
         CLEARING,
 
@@ -80,6 +78,7 @@
     private long nextHoldStep;
     private boolean armsUncertain = true;
     private boolean rescuing;
+    private long releasedMs = Long.MIN_VALUE / 2;
 
     /**
      * Creates a coordinator that knows nothing of earlier ones.
@@ -167,21 +166,26 @@
     }
 
     /**
-     * Begins to end the hold of a silent coordinator.
+     * Begins to end the hold of a silent coordinator, if that is possible without it.
      *
-     * @param step the pass that rank 0 holds
      * @param nowMs current time, in milliseconds
+     * @return whether the hold is being ended
      */
-    public void rescue(long step, long nowMs) {
+    public boolean rescue(long nowMs) {
         RankState own = states.get(ownRank);
-        if (own == null || phase != Phase.IDLE || own.step() >= step) {
-            return;
+        if (own == null
+                || phase != Phase.IDLE
+                || ownRank != HOLDER
+                || own.heldStep() == RankState.NONE
+                || own.armedVersion() != RankState.NONE) {
+            return false;
         }
         epoch = own.epoch();
-        nextHoldStep = step;
-        holdSentMs = Long.MIN_VALUE / 2;
+        heldStep = own.heldStep();
+        version = RankState.NONE;
         rescuing = true;
-        enter(Phase.JOINING, nowMs);
+        enter(Phase.CLEARING, nowMs);
+        return true;
     }
 
     /**
@@ -192,12 +196,6 @@
      * @param nowMs current time, in milliseconds
      */
     public void onHold(long step, boolean accepted, long nowMs) {
-        if (phase == Phase.JOINING && step == nextHoldStep) {
-            heldStep = step;
-            enter(accepted ? Phase.CLEARING : Phase.IDLE, nowMs);
-            version = RankState.NONE;
-            return;
-        }
         if (phase != Phase.HOLDING || step != nextHoldStep) {
             return;
         }
@@ -210,6 +208,20 @@
         }
     }
 
+    /**
+     * Takes the answer to a release.
+     *
+     * @param step the pass
+     * @param accepted whether the pass is no longer held
+     * @param nowMs current time, in milliseconds
+     */
+    public void onRelease(long step, boolean accepted, long nowMs) {
+        if (phase == Phase.RELEASING && accepted && step == heldStep) {
+            releasedMs = nowMs;
+            enter(Phase.IDLE, nowMs);
+        }
+    }
+
     /**
      * Decides what to do next.
      *
@@ -233,17 +245,22 @@
             case PREPARING -> whenPreparing(own, nowMs);
             case HOLDING -> whenHolding(own, nowMs);
             case ARMING -> whenArming(current, random, nowMs);
-            case JOINING -> whenJoining(own, nowMs);
             case CLEARING -> version == RankState.NONE ? startClearing(current, random, nowMs) : whenClearing(nowMs);
-            case RELEASING -> whenReleasing(own, nowMs);
+            case RELEASING -> whenReleasing(nowMs);
         };
     }
 
     private List<SwitchAction> whenIdle(RankState own, Optional<ExpertLists> current, int random, long nowMs) {
-        if (own.heldStep() == RankState.NONE) {
+        RankState holder = states.get(HOLDER);
+        if (ownRank != 0
+                || holder == null
+                || holder.epoch() != own.epoch()
+                || holder.heldStep() == RankState.NONE
+                || holder.reportedMs() <= releasedMs + REPORT_AGE_MS
+                || nowMs - holder.reportedMs() > FRESH_MS) {
             return List.of();
         }
-        heldStep = own.heldStep();
+        heldStep = holder.heldStep();
         epoch = own.epoch();
         if (!armsUncertain) {
             enter(Phase.RELEASING, nowMs);
@@ -288,18 +305,6 @@
         return List.of(new SwitchAction.Hold(nextHoldStep));
     }
 
-    private List<SwitchAction> whenJoining(RankState own, long nowMs) {
-        if (own.step() >= nextHoldStep) {
-            enter(Phase.IDLE, nowMs);
-            return List.of();
-        }
-        if (nowMs - holdSentMs < HOLD_LIMIT_MS) {
-            return List.of();
-        }
-        holdSentMs = nowMs;
-        return List.of(new SwitchAction.Hold(nextHoldStep));
-    }
-
     private List<SwitchAction> whenArming(Optional<ExpertLists> current, int random, long nowMs) {
         if (all(nowMs, state -> state.armedVersion() == version)) {
             armsUncertain = false;
@@ -312,6 +317,22 @@
         return List.of(new SwitchAction.Wish(new RankWish.Armed(version, heldStep)));
     }
 
+    /**
+     * Tells whether a rank may be armed now: the holder after all other ranks, and rank 0 last.
+     *
+     * @param rank the rank
+     * @param nowMs current time, in milliseconds
+     * @return {@code true} if it is the rank's turn
+     */
+    public boolean mayArm(int rank, long nowMs) {
+        return phase == Phase.ARMING
+                && states.size() >= ranks
+                && states.values().stream()
+                        .filter(state -> state.rank() != rank && state.rank() != 0)
+                        .filter(state -> rank == 0 || state.rank() != HOLDER)
+                        .allMatch(state -> state.armedVersion() == version && nowMs - state.reportedMs() <= FRESH_MS);
+    }
+
     private List<SwitchAction> whenClearing(long nowMs) {
         // A newer prepared version makes the orders of this change void as well.
         if (all(nowMs, state -> state.preparedVersion() >= version && state.armedVersion() == RankState.NONE)) {
@@ -323,20 +344,12 @@
         return map == null ? List.of() : List.of(new SwitchAction.Wish(new RankWish.Cleared(version, map)));
     }
 
-    private List<SwitchAction> whenReleasing(RankState own, long nowMs) {
-        RankState coordinator = states.get(0);
-        boolean ownReleased = own.heldStep() != heldStep && own.reportedMs() > phaseSinceMs;
-        boolean otherReleased = !rescuing
-                || coordinator == null
-                || (coordinator.heldStep() != heldStep && coordinator.reportedMs() > phaseSinceMs)
-                || own.step() >= heldStep;
-        if (ownReleased && otherReleased) {
+    private List<SwitchAction> whenReleasing(long nowMs) {
+        RankState holder = states.get(HOLDER);
+        if (holder != null && holder.heldStep() != heldStep && holder.reportedMs() > phaseSinceMs) {
             enter(Phase.IDLE, nowMs);
             return List.of();
         }
-        if (ownReleased) {
-            return List.of(new SwitchAction.ReleaseCoordinator(heldStep));
-        }
         return List.of(new SwitchAction.Release(heldStep));
     }
 
@@ -345,6 +358,7 @@
         return own != null
                 && states.size() >= ranks
                 && states.values().stream()
+                        .filter(state -> !rescuing || state.rank() != 0)
                         .allMatch(state -> state.epoch() == own.epoch()
                                 && nowMs - state.reportedMs() <= FRESH_MS
                                 && condition.test(state));
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/SwitchAction.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/SwitchAction.java
@@ -4,28 +4,21 @@
 public sealed interface SwitchAction {
 
     /**
-     * Keeps the group from beginning a pass.
+     * Keeps the group from beginning a pass, at the rank {@link PassSwitch#HOLDER}.
      *
      * @param step the pass
      */
     record Hold(long step) implements SwitchAction {}
 
     /**
-     * Lets the group begin a pass that was held.
+     * Lets the group begin a pass that was held, at the rank {@link PassSwitch#HOLDER}.
      *
      * @param step the pass
      */
     record Release(long step) implements SwitchAction {}
 
     /**
-     * Lets the group begin a pass that a silent coordinator holds at rank 0.
-     *
-     * @param step the pass
-     */
-    record ReleaseCoordinator(long step) implements SwitchAction {}
-
-    /**
-     * Tells all ranks what state they should be in.
+     * Tells ranks what state they should be in; to be armed is for a rank only if {@link PassSwitch#mayArm} says so.
      *
      * @param wish the state
      */
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/FakeGroup.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/FakeGroup.java
@@ -5,8 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A group of engines that carries out orders late and without an answer, as some do, and checks that every pass begins
@@ -15,6 +17,11 @@
 final class FakeGroup {
 
     private static final long PASS_MS = 50;
+
+    /** Share of passes after which the group has no work for some seconds, so that late orders find an old step. */
+    private static final double IDLE_SHARE = 0.02;
+
+    private static final int LONGEST_IDLE_MS = 8_000;
     private static final int EARLIEST_LATE_MS = 2_000;
     private static final int LATEST_LATE_MS = 12_000;
 
@@ -53,6 +60,11 @@
         return new RankState(rank, 1, true, step, found.map, found.prepared, found.armed, found.held, nowMs);
     }
 
+    /** Returns the content of the map in use, if it isn't the first one. */
+    Optional<ExpertLists> mapInUse() {
+        return Optional.ofNullable(ranks[0].contents.get(ranks[0].map));
+    }
+
     long longestStandingMs() {
         return longestStandingMs;
     }
@@ -65,8 +77,16 @@
         return List.of(ranks).stream().anyMatch(rank -> rank.held == step + 1);
     }
 
-    /** Gives an order; returns the answer, or null if there is none and the order comes later. */
-    @org.jspecify.annotations.Nullable Boolean order(int rank, EngineOrder order, long nowMs) {
+    /**
+     * Gives an order; returns the answer, or null if there is none and the order comes later.
+     *
+     * @param frozenUntilMs time at which the VM of the rank wakes; orders to it are carried out then
+     */
+    @Nullable Boolean order(int rank, EngineOrder order, long frozenUntilMs, long nowMs) {
+        if (frozenUntilMs > nowMs) {
+            late.add(new Late(frozenUntilMs, rank, order));
+            return null;
+        }
         if (random.nextDouble() < lostShare) {
             late.add(new Late(nowMs + random.nextInt(EARLIEST_LATE_MS, LATEST_LATE_MS), rank, order));
             return null;
@@ -137,7 +157,7 @@
         }
         standingSinceMs = -1;
         step++;
-        nextPassMs = nowMs + PASS_MS;
+        nextPassMs = nowMs + (random.nextDouble() < IDLE_SHARE ? random.nextInt(LONGEST_IDLE_MS) : PASS_MS);
         List<ExpertLists> used = new ArrayList<>();
         for (Rank rank : ranks) {
             if (rank.armed != RankState.NONE && rank.armedStep == step) {
