--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -40,6 +40,9 @@
      */
     private static final long HOLD_AHEAD = 4;
 
+    /** A state may have been read this long before it arrived. */
+    private static final long REPORT_AGE_MS = 150;
+
     /** Rank at which passes are held. */
     public static final int HOLDER = 1;
 
