--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -321,15 +321,17 @@
     }
 
     /**
-     * Tells whether a rank may be armed now: the holder after all other ranks, and rank 0 last.
+     * Tells whether a rank may be armed now: the holder after all ranks but rank 0, and rank 0 last.
      *
      * @param rank the rank
      * @param nowMs current time, in milliseconds
      * @return {@code true} if it is the rank's turn
      */
     public boolean mayArm(int rank, long nowMs) {
-        return phase == Phase.ARMING
-                && states.size() >= ranks
+        if (phase != Phase.ARMING || (rank != 0 && rank != HOLDER)) {
+            return phase == Phase.ARMING;
+        }
+        return states.size() >= ranks
                 && states.values().stream()
                         .filter(state -> state.rank() != rank && state.rank() != 0)
                         .filter(state -> rank == 0 || state.rank() != HOLDER)
