Never hold a pass twice, and avoid slow ranks

Cause of the second: one rank that is twelve times slower prolongs every pass; its agent now tells its pace, experts and requests go elsewhere.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -49,6 +50,9 @@
     /** Other gateways learn of this one's requests after at most this time. */
     private static final long TELL_PEERS_MS = 50;
 
+    /** Agents forget a gateway that does not repeat its subscription within three of these. */
+    private static final long SUBSCRIBE_MS = 1_000;
+
     /** Upstreams are less than a few milliseconds away; a VM without power never answers. */
     private static final int CONNECT_TIMEOUT_MS = 250;
 
@@ -124,7 +128,7 @@
                 log);
         this.upstreamFollower = new KindFollower<>(
                 dialect.upstreams(), eventLoop, clock, settings.storeAddress(), knowledge.upstreamListener(), log);
-        this.peerLink = new PeerLink(log, settings.name(), peerLoads, clock);
+        this.peerLink = new PeerLink(log, settings.name(), peerLoads, this::onPace, clock);
         this.peerDirectory = new PeerDirectory(eventLoop, dialect.gateways(), settings, peerLoads, clock, log);
     }
 
@@ -144,6 +148,8 @@
             eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
             eventLoop.scheduleWithFixedDelay(
                     () -> peerLink.send(this::ownLoads), TELL_PEERS_MS, TELL_PEERS_MS, TimeUnit.MILLISECONDS);
+            eventLoop.scheduleWithFixedDelay(
+                    this::subscribeToPaces, SUBSCRIBE_MS, SUBSCRIBE_MS, TimeUnit.MILLISECONDS);
             log.event("gateway started")
                     .field("name", settings.name())
                     .field("dataCentre", settings.dataCentre())
@@ -264,6 +270,29 @@
         return new StatusServer.Status(ready, ready ? "ready\n" : "not ready\n");
     }
 
+    private void onPace(String host, double pace) {
+        services.values().stream()
+                .flatMap(places -> places.upstreams().stream())
+                .filter(upstream -> upstream.entry().host().equals(host))
+                .forEach(upstream -> {
+                    if (upstream.pace() != pace) {
+                        log.event("upstream pace")
+                                .field("upstream", upstream.entry().id())
+                                .field("pacePercent", Math.round(pace * 100))
+                                .write();
+                    }
+                    upstream.setPace(pace, clock.steadyMs());
+                });
+    }
+
+    private void subscribeToPaces() {
+        peerLink.subscribe(services.values().stream()
+                .filter(ServicePlaces::engine)
+                .flatMap(places -> places.upstreams().stream())
+                .map(upstream -> new InetSocketAddress(
+                        upstream.entry().host(), settings.peerAddress().getPort())));
+    }
+
     private void onKnowledgeChanged() {
         Map<String, List<UpstreamEntry>> byService = new HashMap<>();
         knowledge
@@ -284,7 +313,7 @@
                     .orElse(false);
             WindowedBudget budget = new WindowedBudget(
                     settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack() / BUDGET_SHARERS);
-            return new ServicePlaces(this, name, engine, budget);
+            return new ServicePlaces(this, engine, budget);
         });
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLink.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLink.java
@@ -12,8 +12,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.ObjDoubleConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.gateway.rank.PaceNotice;
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
@@ -32,10 +35,13 @@
     private final DecisionLog log;
     private final String name;
     private final PeerLoads loads;
+    private final ObjDoubleConsumer<String> paces;
     private final Clock clock;
     private @Nullable Channel channel;
 
-    PeerLink(DecisionLog log, String name, PeerLoads loads, Clock clock) {
+    PeerLink(
+            DecisionLog log, String name, PeerLoads loads, ObjDoubleConsumer<String> paces, Clock clock) {
+        this.paces = paces;
         this.log = log;
         this.name = name;
         this.loads = loads;
@@ -80,6 +86,15 @@
         message.release();
     }
 
+    /** Asks the agents beside engines to tell when their engine is slow. */
+    void subscribe(Stream<InetSocketAddress> agents) {
+        Channel open = channel;
+        if (open != null && open.isActive()) {
+            agents.forEach(agent -> open.write(new DatagramPacket(PaceNotice.subscription(), agent)));
+            open.flush();
+        }
+    }
+
     private static void writeText(ByteBuf message, String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         message.writeByte(bytes.length);
@@ -96,6 +111,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             ByteBuf message = packet.content();
+            if (PaceNotice.isNotice(message)) {
+                paces.accept(packet.sender().getHostString(), PaceNotice.readPace(message));
+                return;
+            }
             try {
                 if (message.readUnsignedByte() != FORMAT) {
                     return;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -32,7 +32,6 @@
     private static final long ONCE_MAX_IDLE_MS = 1_000;
 
     private final Gateway gateway;
-    private final String service;
     private final boolean engine;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private List<Upstream> order = List.of();
@@ -43,9 +42,8 @@
     private int rotation;
     private boolean pumping;
 
-    ServicePlaces(Gateway gateway, String service, boolean engine, WindowedBudget budget) {
+    ServicePlaces(Gateway gateway, boolean engine, WindowedBudget budget) {
         this.gateway = gateway;
-        this.service = service;
         this.engine = engine;
         this.budget = budget;
     }
@@ -164,6 +162,7 @@
                 upstream.unreadTokens() + peers.unreadTokens(),
                 upstream.trust().latencyMs(),
                 upstream.trust().failureShare(),
+                upstream.paceAt(nowMs),
                 upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
                 admitted);
     }
@@ -371,7 +370,7 @@
         upstreams.values().forEach(Upstream::closeIdle);
     }
 
-    String service() {
-        return service;
+    boolean engine() {
+        return engine;
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -9,12 +9,17 @@
 /** An upstream as the gateway uses it: its connections, requests in progress and what is believed of it. */
 final class Upstream {
 
+    /** Agents of slow engines repeat the pace several times in this time. */
+    private static final long PACE_FRESH_MS = 1_500;
+
     private UpstreamEntry entry;
     private final UpstreamTrust trust = new UpstreamTrust();
     private final Deque<UpstreamLink> idle = new ArrayDeque<>();
     private int inFlight;
     private double unreadTokens;
     private boolean gone;
+    private double pace = 1;
+    private long paceMs;
 
     Upstream(UpstreamEntry entry) {
         this.entry = entry;
@@ -53,6 +58,21 @@
         inFlight--;
     }
 
+    /** Returns how many times longer than usual it takes for the same work, as its agent told last. */
+    double pace() {
+        return pace;
+    }
+
+    void setPace(double told, long nowMs) {
+        pace = told;
+        paceMs = nowMs;
+    }
+
+    /** Returns the pace, or 1 if its agent has not repeated a slow one. */
+    double paceAt(long nowMs) {
+        return nowMs - paceMs <= PACE_FRESH_MS ? pace : 1;
+    }
+
     /** Tells whether new requests may go there. */
     boolean usable() {
         return !gone && !entry.draining();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/EngineReport.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/EngineReport.java
@@ -11,6 +11,7 @@
  * @param mapVersion version of the expert map in use
  * @param preparedVersion version of the map that is ready to be used, or -1
  * @param armedVersion version of the map that a coming pass will use, or -1
+ * @param pace how many times longer than usual the engine takes for the same work
  * @param heldStep pass that the engine keeps from beginning, or -1
  */
 public record EngineReport(
@@ -19,6 +20,7 @@
         long mapVersion,
         long preparedVersion,
         long armedVersion,
+        double pace,
         long heldStep) {
 
     /**
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -72,6 +72,7 @@
     private long plannedMs = Long.MIN_VALUE / 2;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
 
+    private final Map<Integer, Double> paces = new HashMap<>();
     private final Map<Integer, Long> heardMs = new HashMap<>();
 
     private record Held(long epoch, long mapVersion, int[][] bySet) {}
@@ -88,7 +89,8 @@
         return passSwitch.phase() != PassSwitch.Phase.IDLE;
     }
 
-    void onState(RankState state, long heldMapVersion, int[][] experts) {
+    void onState(RankState state, double rankPace, long heldMapVersion, int[][] experts) {
+        paces.put(state.rank(), Math.max(1.0, rankPace));
         passSwitch.onState(state);
         heardMs.put(state.rank(), state.reportedMs());
         if (state.rank() == 0) {
@@ -180,7 +182,11 @@
             planned = planned.withSet(
                     set,
                     ReplicaPlanner.plan(
-                            shape, byRank(current, set), loads.ofSet(set, shape.experts()), LEAST_GAIN_PER_COPY / pressure));
+                            shape,
+                            byRank(current, set),
+                            loads.ofSet(set, shape.experts()),
+                            paces(),
+                            LEAST_GAIN_PER_COPY / pressure));
         }
         double before = heaviest(current, loads);
         double after = heaviest(planned, loads);
@@ -205,10 +211,16 @@
     private double heaviest(ExpertLists lists, ExpertLoads loads) {
         return IntStream.range(0, shape.sets())
                 .mapToDouble(set -> ReplicaPlanner.heaviestLoad(
-                        shape, byRank(lists, set), loads.ofSet(set, shape.experts())))
+                        shape, byRank(lists, set), loads.ofSet(set, shape.experts()), paces()))
                 .sum();
     }
 
+    private double[] paces() {
+        return IntStream.range(0, ranks)
+                .mapToDouble(rank -> paces.getOrDefault(rank, 1.0))
+                .toArray();
+    }
+
     private static int[][] byRank(ExpertLists lists, int set) {
         return IntStream.range(0, lists.ranks())
                 .mapToObj(rank -> lists.experts(set, rank))
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
@@ -14,9 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -71,6 +70,7 @@
     private final SerialHttpConnection reports;
     private final SerialHttpConnection counters;
     private final GroupDirectory directory;
+    private final PaceNotice paceNotice = new PaceNotice(this::sendBytes);
     private final Map<Integer, InetSocketAddress> agents = new HashMap<>();
     private final Map<Integer, RankProxy> proxies = new HashMap<>();
     private final RankOrders orders;
@@ -88,6 +88,7 @@
     private boolean holderTurnTold;
     private long wishToldMs = Long.MIN_VALUE / 2;
     private long reportedMs = Long.MIN_VALUE / 2;
+    private double pace = 1;
     private boolean reporting;
     private boolean counting;
 
@@ -206,6 +207,8 @@
         }
         RankState current = report.state(clock.steadyMs()).orElseThrow();
         state = current;
+        pace = report.pace();
+        paceNotice.send(pace, clock.steadyMs());
         if (expertsEpoch != current.epoch() || expertsVersion != current.mapVersion()) {
             readExperts(current.epoch());
         }
@@ -243,12 +246,12 @@
         for (int rank = 0; rank < DECIDING_RANKS; rank++) {
             InetSocketAddress address = agents.get(rank);
             if (rank != current.rank() && address != null) {
-                send(new RankMessage.State(name, current, expertsVersion, experts), address);
+                send(new RankMessage.State(name, current, pace, expertsVersion, experts), address);
             }
         }
         MapCoordinator running = coordinator();
         if (running != null) {
-            running.onState(current, expertsVersion, experts);
+            running.onState(current, pace, expertsVersion, experts);
             running.rescueIfAbandoned(clock.steadyMs());
             coordinate(running);
         }
@@ -414,10 +417,14 @@
     }
 
     private void send(RankMessage message, InetSocketAddress address) {
+        ByteBuf bytes = Unpooled.buffer();
+        RankMessage.write(bytes, message);
+        sendBytes(bytes, address);
+    }
+
+    private void sendBytes(ByteBuf bytes, InetSocketAddress address) {
         Channel open = channel;
         if (open != null && open.isActive()) {
-            ByteBuf bytes = open.alloc().buffer();
-            RankMessage.write(bytes, message);
             open.writeAndFlush(new DatagramPacket(bytes, address));
         }
     }
@@ -437,7 +444,7 @@
             case RankMessage.State told -> {
                 if (running != null) {
                     RankState stamped = told.state().withReportedMs(clock.steadyMs());
-                    running.onState(stamped, told.heldMapVersion(), told.experts());
+                    running.onState(stamped, told.pace(), told.heldMapVersion(), told.experts());
                     if (running.active()) {
                         coordinate(running);
                     }
@@ -461,9 +468,11 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
-                List<RankMessage> messages = new ArrayList<>();
-                RankMessage.read(packet.content()).ifPresent(messages::add);
-                messages.forEach(message -> onMessage(message, packet.sender()));
+                if (PaceNotice.isSubscription(packet.content())) {
+                    paceNotice.onSubscription(packet.sender(), clock.steadyMs());
+                    return;
+                }
+                RankMessage.read(packet.content()).ifPresent(message -> onMessage(message, packet.sender()));
             } catch (IndexOutOfBoundsException truncated) {
                 log.event("unreadable datagram")
                         .field("sender", String.valueOf(packet.sender()))
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
@@ -18,7 +18,8 @@
 
     /** State of a rank and the experts that it holds by set, for the coordinator. */
     @SuppressWarnings("ArrayRecordComponent")
-    record State(String group, RankState state, long heldMapVersion, int[][] experts) implements RankMessage {}
+    record State(String group, RankState state, double pace, long heldMapVersion, int[][] experts)
+            implements RankMessage {}
 
     /** Counters of chosen experts, a part of them in each datagram, for the coordinator. */
     @SuppressWarnings("ArrayRecordComponent")
@@ -37,6 +38,7 @@
             case State state -> {
                 begin(out, 2, state.group);
                 writeState(out, state.state);
+                out.writeDouble(state.pace);
                 out.writeLong(state.heldMapVersion);
                 writeLists(out, state.experts);
             }
@@ -67,7 +69,7 @@
                 .toString();
         return switch (type) {
             case 1 -> Optional.of(new Hello(group, in.readUnsignedShort(), in.readLong()));
-            case 2 -> Optional.of(new State(group, readState(in), in.readLong(), readLists(in)));
+            case 2 -> Optional.of(new State(group, readState(in), in.readDouble(), in.readLong(), readLists(in)));
             case 3 -> {
                 int rank = in.readUnsignedShort();
                 int total = in.readUnsignedShort();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceCandidate.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceCandidate.java
@@ -8,6 +8,7 @@
  * @param unreadTokens prompt tokens of requests there that have not produced a first event
  * @param latencyMs mean time to the first part of an answer, in milliseconds; 0 if unknown
  * @param failureShare recent share of failures, from 0 to 1
+ * @param pace how many times longer than usual it takes for the same work
  * @param sameDataCentre whether it stands in the gateway's data centre
  * @param admitted whether it may get a request at all
  */
@@ -17,6 +18,7 @@
         double unreadTokens,
         double latencyMs,
         double failureShare,
+        double pace,
         boolean sameDataCentre,
         boolean admitted) {
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceChoice.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/PlaceChoice.java
@@ -20,6 +20,12 @@
     /** Factor on the expected wait for an upstream that fails every request. */
     private static final double FAILURE_FACTOR = 8;
 
+    /**
+     * Requests by which a rank that takes twice as long counts as fuller. Its own requests prolong every pass of the
+     * whole group, so it gets work only when all others are nearly full.
+     */
+    private static final double SLOW_FACTOR = 8;
+
     /** Latency assumed before the first answer, in milliseconds; low, so that unknown upstreams get tried. */
     private static final double UNKNOWN_LATENCY_MS = 1;
 
@@ -52,6 +58,7 @@
         return candidate.inFlight()
                 + candidate.unreadTokens() / TOKENS_PER_REQUEST
                 + FAILURE_FACTOR * candidate.failureShare()
+                + SLOW_FACTOR * (candidate.pace() - 1)
                 - (candidate.sameDataCentre() ? SAME_DATA_CENTRE : 0);
     }
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -40,6 +40,12 @@
      */
     private static final long HOLD_AHEAD = 4;
 
+    /**
+     * Passes ahead of which no pass is held. An order to release a pass may come seconds late, so no pass is held twice:
+     * a coordinator that starts again waits until all passes that its predecessor can have held have begun.
+     */
+    private static final long MOST_AHEAD = 8;
+
     /** A state may have been read this long before it arrived. */
     private static final long REPORT_AGE_MS = 150;
 
@@ -80,6 +86,7 @@
     private long holdSentMs;
     private long nextHoldStep;
     private boolean armsUncertain = true;
+    private long firstStep = RankState.NONE;
     private boolean rescuing;
     private long releasedMs = Long.MIN_VALUE / 2;
 
@@ -104,6 +111,9 @@
         if (known == null || state.epoch() >= known.epoch()) {
             states.put(state.rank(), state);
         }
+        if (state.rank() == ownRank && firstStep == RankState.NONE) {
+            firstStep = state.step();
+        }
     }
 
     /**
@@ -126,6 +136,7 @@
         return phase == Phase.IDLE
                 && own != null
                 && own.open()
+                && own.step() >= firstStep + MOST_AHEAD
                 && all(nowMs, state -> state.mapVersion() == own.mapVersion()
                         && state.armedVersion() == RankState.NONE
                         && state.heldStep() == RankState.NONE);
@@ -304,6 +315,11 @@
             return List.of();
         }
         nextHoldStep = Math.max(nextHoldStep + 1, own.step() + HOLD_AHEAD);
+        if (nextHoldStep > own.step() + MOST_AHEAD) {
+            nextHoldStep--;
+            enter(Phase.IDLE, nowMs);
+            return List.of();
+        }
         holdSentMs = nowMs;
         return List.of(new SwitchAction.Hold(nextHoldStep));
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
@@ -23,6 +23,7 @@
     private final GroupShape shape;
     private final int ranks;
     private final double[] load;
+    private final double[] paces;
     private final boolean[][] holds;
     private final boolean[][] held;
     private final int[] replicas;
@@ -30,7 +31,8 @@
     private final int[] taken;
     private double[] rankLoad;
 
-    private ReplicaPlanner(GroupShape shape, int[][] byRank, double[] load) {
+    private ReplicaPlanner(GroupShape shape, int[][] byRank, double[] load, double[] paces) {
+        this.paces = paces;
         this.shape = shape;
         this.ranks = byRank.length;
         this.load = load;
@@ -55,11 +57,13 @@
      * @param shape shape of the group
      * @param byRank experts of the set by rank, as they are
      * @param counts how often each expert of the set was chosen recently
+     * @param paces how many times longer than usual each rank takes for the same work
      * @param leastGainPerCopy least reduction of the heaviest rank's load that justifies a copy; 1 is the mean load
      * @return experts of the set by rank, as they should be
      */
-    public static int[][] plan(GroupShape shape, int[][] byRank, double[] counts, double leastGainPerCopy) {
-        ReplicaPlanner planner = new ReplicaPlanner(shape, byRank, normalised(counts, byRank.length));
+    public static int[][] plan(
+            GroupShape shape, int[][] byRank, double[] counts, double[] paces, double leastGainPerCopy) {
+        ReplicaPlanner planner = new ReplicaPlanner(shape, byRank, normalised(counts, byRank.length), paces);
         int[][] best = byRank;
         double start = planner.heaviest();
         double bestValue = 0;
@@ -79,10 +83,11 @@
      * @param shape shape of the group
      * @param byRank experts of the set by rank
      * @param counts how often each expert of the set was chosen recently
+     * @param paces how many times longer than usual each rank takes for the same work
      * @return the load; 1 is the mean over all ranks
      */
-    public static double heaviestLoad(GroupShape shape, int[][] byRank, double[] counts) {
-        return new ReplicaPlanner(shape, byRank, normalised(counts, byRank.length)).heaviest();
+    public static double heaviestLoad(GroupShape shape, int[][] byRank, double[] counts, double[] paces) {
+        return new ReplicaPlanner(shape, byRank, normalised(counts, byRank.length), paces).heaviest();
     }
 
     private static double[] normalised(double[] counts, int ranks) {
@@ -95,7 +100,7 @@
         for (int rank = 0; rank < ranks; rank++) {
             for (int expert = 0; expert < shape.experts(); expert++) {
                 if (holds[rank][expert]) {
-                    loads[rank] += load[expert] / replicas[expert];
+                    loads[rank] += paces[rank] * load[expert] / replicas[expert];
                 }
             }
         }
@@ -220,7 +225,7 @@
             if (rank == change.from || rank == change.to) {
                 heldBefore = expert == change.expert ? rank == change.from : rank == change.to;
             }
-            loads[rank] += (holds[rank][expert] ? after : 0) - (heldBefore ? before : 0);
+            loads[rank] += paces[rank] * ((holds[rank][expert] ? after : 0) - (heldBefore ? before : 0));
         }
     }
 
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/ReplicaPlannerTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/ReplicaPlannerTest.java
@@ -15,6 +15,12 @@
     private static final int RANKS = 12;
     private static final GroupShape SHAPE = new GroupShape(4, 72, 8, 3);
 
+    private static final double[] EVEN = new double[RANKS];
+
+    static {
+        Arrays.fill(EVEN, 1);
+    }
+
     private static int[][] inTurn() {
         return IntStream.range(0, RANKS)
                 .mapToObj(rank -> IntStream.range(0, SHAPE.experts() / RANKS)
@@ -44,13 +50,13 @@
     void levelsSkewedLoad(RepetitionInfo repetition) {
         double[] counts = skewed(repetition.getCurrentRepetition());
         int[][] lists = inTurn();
-        double before = ReplicaPlanner.heaviestLoad(SHAPE, lists, counts);
+        double before = ReplicaPlanner.heaviestLoad(SHAPE, lists, counts, EVEN);
 
         for (int round = 0; round < 3; round++) {
-            lists = ReplicaPlanner.plan(SHAPE, lists, counts, 0.001);
+            lists = ReplicaPlanner.plan(SHAPE, lists, counts, EVEN, 0.001);
         }
 
-        double after = ReplicaPlanner.heaviestLoad(SHAPE, lists, counts);
+        double after = ReplicaPlanner.heaviestLoad(SHAPE, lists, counts, EVEN);
         assertThat(after).isLessThan(1.5).isLessThan(before * 0.6);
     }
 
@@ -59,7 +65,7 @@
         int[][] lists = inTurn();
         for (int round = 0; round < 5; round++) {
             int[][] planned =
-                    ReplicaPlanner.plan(SHAPE, lists, skewed(repetition.getCurrentRepetition() * 31L + round), 0.001);
+                    ReplicaPlanner.plan(SHAPE, lists, skewed(repetition.getCurrentRepetition() * 31L + round), EVEN, 0.001);
 
             assertThat(Arrays.stream(planned)
                             .flatMapToInt(Arrays::stream)
@@ -85,7 +91,7 @@
         double[] counts = new double[SHAPE.experts()];
         Arrays.fill(counts, 1_000);
 
-        int[][] planned = ReplicaPlanner.plan(SHAPE, inTurn(), counts, 0.01);
+        int[][] planned = ReplicaPlanner.plan(SHAPE, inTurn(), counts, EVEN, 0.01);
 
         assertThat(ExpertLists.of(new int[][][] {planned}).copiesFrom(ExpertLists.of(new int[][][] {inTurn()})))
                 .isZero();
@@ -96,11 +102,30 @@
         double[] counts = skewed(7);
         ExpertLists start = ExpertLists.of(new int[][][] {inTurn()});
 
-        int cheap = ExpertLists.of(new int[][][] {ReplicaPlanner.plan(SHAPE, inTurn(), counts, 0.001)})
+        int cheap = ExpertLists.of(new int[][][] {ReplicaPlanner.plan(SHAPE, inTurn(), counts, EVEN, 0.001)})
                 .copiesFrom(start);
-        int dear = ExpertLists.of(new int[][][] {ReplicaPlanner.plan(SHAPE, inTurn(), counts, 0.2)})
+        int dear = ExpertLists.of(new int[][][] {ReplicaPlanner.plan(SHAPE, inTurn(), counts, EVEN, 0.2)})
                 .copiesFrom(start);
 
         assertThat(dear).isLessThan(cheap);
     }
+
+    @Test
+    void takesExpertsOffASlowRank() {
+        double[] counts = new double[SHAPE.experts()];
+        Arrays.fill(counts, 1_000);
+        double[] paces = EVEN.clone();
+        paces[4] = 12;
+        int[][] lists = inTurn();
+        double before = ReplicaPlanner.heaviestLoad(SHAPE, lists, counts, paces);
+
+        for (int round = 0; round < 3; round++) {
+            lists = ReplicaPlanner.plan(SHAPE, lists, counts, paces, 0.001);
+        }
+
+        assertThat(before).isGreaterThan(10);
+        assertThat(ReplicaPlanner.heaviestLoad(SHAPE, lists, counts, paces))
+                .as("a pass lasts as long as the slow rank's part, so it must hold next to nothing")
+                .isLessThan(2.5);
+    }
 }
