--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -148,8 +148,7 @@
             eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
             eventLoop.scheduleWithFixedDelay(
                     () -> peerLink.send(this::ownLoads), TELL_PEERS_MS, TELL_PEERS_MS, TimeUnit.MILLISECONDS);
-            eventLoop.scheduleWithFixedDelay(
-                    this::subscribeToPaces, SUBSCRIBE_MS, SUBSCRIBE_MS, TimeUnit.MILLISECONDS);
+            eventLoop.scheduleWithFixedDelay(this::subscribeToPaces, SUBSCRIBE_MS, SUBSCRIBE_MS, TimeUnit.MILLISECONDS);
             log.event("gateway started")
                     .field("name", settings.name())
                     .field("dataCentre", settings.dataCentre())
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLink.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLink.java
@@ -39,8 +39,7 @@
     private final Clock clock;
     private @Nullable Channel channel;
 
-    PeerLink(
-            DecisionLog log, String name, PeerLoads loads, ObjDoubleConsumer<String> paces, Clock clock) {
+    PeerLink(DecisionLog log, String name, PeerLoads loads, ObjDoubleConsumer<String> paces, Clock clock) {
         this.paces = paces;
         this.log = log;
         this.name = name;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
@@ -60,9 +60,8 @@
                 try {
                     shape = configuration.readPage(answer.body()).objects().stream()
                             .flatMap(object -> object.value().stream())
-                            .flatMap(current -> Optional.ofNullable(
-                                    current.services().get(settings.service()))
-                                    .stream())
+                            .flatMap(current ->
+                                    Optional.ofNullable(current.services().get(settings.service())).stream())
                             .flatMap(service -> service.shape().stream())
                             .findFirst()
                             .orElse(null);
@@ -105,8 +104,7 @@
                 .map(UpstreamEntry::host)
                 .filter(host -> !host.equals(settings.agentAddress().getHostString()))
                 .distinct()
-                .map(host ->
-                        new InetSocketAddress(host, settings.agentAddress().getPort()))
+                .map(host -> new InetSocketAddress(host, settings.agentAddress().getPort()))
                 .toList();
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -19,8 +19,8 @@
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
- * Decides when the group changes its map, and to which. The one of rank 0 does so; the one of rank 1 only ends a hold that
- * the agent of rank 0 left behind.
+ * Decides when the group changes its map, and to which. The one of rank 0 does so; the one of rank 1 only ends a hold
+ * that the agent of rank 0 left behind.
  */
 final class MapCoordinator {
 
@@ -111,7 +111,9 @@
 
     /** Ends the hold of a coordinator that has fallen silent. */
     void rescueIfAbandoned(long nowMs) {
-        if (ownRank == PassSwitch.HOLDER && nowMs - heardMs.getOrDefault(0, nowMs) > RESCUE_MS && passSwitch.rescue(nowMs)) {
+        if (ownRank == PassSwitch.HOLDER
+                && nowMs - heardMs.getOrDefault(0, nowMs) > RESCUE_MS
+                && passSwitch.rescue(nowMs)) {
             log.event("ending the hold of a silent coordinator")
                     .field("silentMs", nowMs - heardMs.getOrDefault(0, nowMs))
                     .write();
@@ -145,7 +147,10 @@
     /** Returns what to do now; {@code own} is the state of the own rank. */
     List<SwitchAction> next(RankState own, long nowMs) {
         Optional<ExpertLists> current = current(own);
-        if (ownRank == 0 && current.isPresent() && nowMs - plannedMs >= PLAN_INTERVAL_MS && passSwitch.mayBegin(nowMs)) {
+        if (ownRank == 0
+                && current.isPresent()
+                && nowMs - plannedMs >= PLAN_INTERVAL_MS
+                && passSwitch.mayBegin(nowMs)) {
             plannedMs = nowMs;
             plan(current.get(), nowMs);
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/PaceNotice.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/PaceNotice.java
@@ -85,7 +85,9 @@
         toldSlow = slow;
         toldMs = nowMs;
         subscribersMs.values().removeIf(subscribedMs -> nowMs - subscribedMs > SUBSCRIBED_MS);
-        subscribersMs.keySet().forEach(gateway -> output.accept(
-                Unpooled.buffer().writeByte(NOTICE).writeDouble(slow ? pace : 1), gateway));
+        subscribersMs
+                .keySet()
+                .forEach(gateway ->
+                        output.accept(Unpooled.buffer().writeByte(NOTICE).writeDouble(slow ? pace : 1), gateway));
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -277,10 +277,11 @@
         for (SwitchAction action : running.next(own, clock.steadyMs())) {
             switch (action) {
                 case SwitchAction.Hold hold ->
-                    holder().ifPresent(orders -> orders.give(new EngineOrder.Hold(hold.step()), own.epoch(), accepted -> {
-                        running.onHold(hold.step(), accepted, clock.steadyMs());
-                        report();
-                    }));
+                    holder().ifPresent(orders ->
+                            orders.give(new EngineOrder.Hold(hold.step()), own.epoch(), accepted -> {
+                                running.onHold(hold.step(), accepted, clock.steadyMs());
+                                report();
+                            }));
                 case SwitchAction.Release release ->
                     holder().ifPresent(orders ->
                             orders.give(new EngineOrder.Release(release.step()), own.epoch(), accepted -> {
@@ -305,14 +306,15 @@
     }
 
     private void actFor(int rank, MapCoordinator running) {
-        proxy(rank).ifPresent(proxy -> proxy.poll(found -> {
-            running.onProxied(found);
-            RankWish wanted = wish;
-            boolean turn = !(wanted instanceof RankWish.Armed) || running.mayArm(rank, clock.steadyMs());
-            if (running.active() && wanted != null && turn && found.epoch() == wishEpoch) {
-                proxy.orders().follow(found, wanted, () -> {});
-            }
-        }));
+        proxy(rank)
+                .ifPresent(proxy -> proxy.poll(found -> {
+                    running.onProxied(found);
+                    RankWish wanted = wish;
+                    boolean turn = !(wanted instanceof RankWish.Armed) || running.mayArm(rank, clock.steadyMs());
+                    if (running.active() && wanted != null && turn && found.epoch() == wishEpoch) {
+                        proxy.orders().follow(found, wanted, () -> {});
+                    }
+                }));
     }
 
     private Optional<RankProxy> proxy(int rank) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
@@ -115,7 +115,8 @@
                 out.writeByte(1).writeLong(prepared.version());
                 writeMap(out, prepared.map());
             }
-            case RankWish.Armed armed -> out.writeByte(2).writeLong(armed.version()).writeLong(armed.step());
+            case RankWish.Armed armed ->
+                out.writeByte(2).writeLong(armed.version()).writeLong(armed.step());
             case RankWish.Cleared cleared -> {
                 out.writeByte(3).writeLong(cleared.version());
                 writeMap(out, cleared.map());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
@@ -80,25 +80,23 @@
         }
         busy = true;
         long timeoutMs = order instanceof EngineOrder.Prepare ? PREPARE_TIMEOUT_MS : TIMEOUT_MS;
-        connection.call(
-                HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), timeoutMs, reply -> {
-                    busy = false;
-                    String outcome =
-                            switch (reply) {
-                                case HttpReply.Answer answer -> "status " + answer.status();
-                                case HttpReply.Lost lost -> lost.reason();
-                            };
-                    log.event("order given")
-                            .field("order", order.getClass().getSimpleName())
-                            .field("version", version(order))
-                            .field("step", step(order))
-                            .field("epoch", epoch)
-                            .field("outcome", outcome)
-                            .write();
-                    if (reply instanceof HttpReply.Answer answer) {
-                        onAnswer.accept(answer.status() == STATUS_OK || answer.status() == STATUS_ACCEPTED);
-                    }
-                });
+        connection.call(HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), timeoutMs, reply -> {
+            busy = false;
+            String outcome = switch (reply) {
+                case HttpReply.Answer answer -> "status " + answer.status();
+                case HttpReply.Lost lost -> lost.reason();
+            };
+            log.event("order given")
+                    .field("order", order.getClass().getSimpleName())
+                    .field("version", version(order))
+                    .field("step", step(order))
+                    .field("epoch", epoch)
+                    .field("outcome", outcome)
+                    .write();
+            if (reply instanceof HttpReply.Answer answer) {
+                onAnswer.accept(answer.status() == STATUS_OK || answer.status() == STATUS_ACCEPTED);
+            }
+        });
     }
 
     private static long version(EngineOrder order) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
@@ -32,7 +32,12 @@
     private long polledMs = Long.MIN_VALUE / 2;
 
     RankProxy(
-            int rank, EngineDialect dialect, EventLoop eventLoop, InetSocketAddress engine, Clock clock, DecisionLog log) {
+            int rank,
+            EngineDialect dialect,
+            EventLoop eventLoop,
+            InetSocketAddress engine,
+            Clock clock,
+            DecisionLog log) {
         this.rank = rank;
         this.dialect = dialect;
         this.connection = new SerialHttpConnection(eventLoop, engine);
--- /dev/null
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeDialect.java
@@ -0,0 +1,44 @@
+package org.kingcuproad.gateway;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Objects of one kind that are kept in memory; the fake store answers every call with an empty body. */
+class FakeDialect<T> implements StoreDialect<T> {
+
+    private final List<StoreObject<T>> objects;
+
+    FakeDialect(List<StoreObject<T>> objects) {
+        this.objects = objects;
+    }
+
+    @Override
+    public String kind() {
+        return "fake";
+    }
+
+    @Override
+    public String listTarget(Optional<String> after) {
+        return "/list";
+    }
+
+    @Override
+    public String relaxedListTarget() {
+        return "/list";
+    }
+
+    @Override
+    public String watchTarget(long revision, long waitMs) {
+        return "/watch";
+    }
+
+    @Override
+    public StorePage<T> readPage(byte[] body) {
+        return new StorePage<>(objects, false, 1);
+    }
+
+    @Override
+    public StoreChanges<T> readChanges(byte[] body) {
+        return new StoreChanges<>(List.of(), 1);
+    }
+}
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ExpertLists.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ExpertLists.java
@@ -24,10 +24,12 @@
      */
     public static ExpertLists of(int[][][] bySetAndRank) {
         int[][][] copy = new int[bySetAndRank.length][][];
-        Arrays.setAll(copy, set -> Arrays.stream(bySetAndRank[set])
-                .map(int[]::clone)
-                .peek(Arrays::sort)
-                .toArray(int[][]::new));
+        Arrays.setAll(
+                copy,
+                set -> Arrays.stream(bySetAndRank[set])
+                        .map(int[]::clone)
+                        .peek(Arrays::sort)
+                        .toArray(int[][]::new));
         return new ExpertLists(copy);
     }
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassPace.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassPace.java
@@ -3,8 +3,8 @@
 /**
  * How long the passes of a group take, and how much that matters.
  *
- * <p>Copies of experts cost memory traffic and slow passes down while they last. Where passes are short, all callers are
- * served in time, and a better map would bring them nothing; where passes are near the longest pause that callers
+ * <p>Copies of experts cost memory traffic and slow passes down while they last. Where passes are short, all callers
+ * are served in time, and a better map would bring them nothing; where passes are near the longest pause that callers
  * accept, every millisecond counts.
  */
 public final class PassPace {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -10,13 +10,15 @@
  * Changes the map of a group so that every pass begins with the same map on all ranks.
  *
  * <p>Orders may get no answer and be carried out seconds later, and ranks don't check who gives them. The rule that
- * keeps passes uniform is: ranks are armed only for a pass that is held, and the hold ends only when all ranks are armed
- * for that pass, or when all are armed for nothing and every earlier order is void ({@link RankWish.Cleared}). The
- * coordinator is the agent of rank 0. It holds passes at rank 1, arms all other ranks, then rank 1, and its own rank last.
+ * keeps passes uniform is: ranks are armed only for a pass that is held, and the hold ends only when all ranks are
+ * armed for that pass, or when all are armed for nothing and every earlier order is void ({@link RankWish.Cleared}).
+ * The coordinator is the agent of rank 0. It holds passes at rank 1, arms all other ranks, then rank 1, and its own
+ * rank last.
  *
- * <p>A VM may freeze just after its agent gave an order, and then neither the agent nor the engine beside it answers. So
- * the hold is at another rank than the coordinator's, and the agent of that rank can end it ({@link #rescue}): as long as
- * rank 1 is not armed, rank 0 isn't either, and once rank 1 is cleared, rank 0 will not be. The other ranks are asked.
+ * <p>A VM may freeze just after its agent gave an order, and then neither the agent nor the engine beside it answers.
+ * So the hold is at another rank than the coordinator's, and the agent of that rank can end it ({@link #rescue}): as
+ * long as rank 1 is not armed, rank 0 isn't either, and once rank 1 is cleared, rank 0 will not be. The other ranks are
+ * asked.
  *
  * <p>An object belongs to one event loop. It is fed with the states of the ranks and asked by {@link #next} what to do.
  */
@@ -41,8 +43,8 @@
     private static final long HOLD_AHEAD = 4;
 
     /**
-     * Passes ahead of which no pass is held. An order to release a pass may come seconds late, so no pass is held twice:
-     * a coordinator that starts again waits until all passes that its predecessor can have held have begun.
+     * Passes ahead of which no pass is held. An order to release a pass may come seconds late, so no pass is held
+     * twice: a coordinator that starts again waits until all passes that its predecessor can have held have begun.
      */
     private static final long MOST_AHEAD = 8;
 
@@ -137,9 +139,11 @@
                 && own != null
                 && own.open()
                 && own.step() >= firstStep + MOST_AHEAD
-                && all(nowMs, state -> state.mapVersion() == own.mapVersion()
-                        && state.armedVersion() == RankState.NONE
-                        && state.heldStep() == RankState.NONE);
+                && all(
+                        nowMs,
+                        state -> state.mapVersion() == own.mapVersion()
+                                && state.armedVersion() == RankState.NONE
+                                && state.heldStep() == RankState.NONE);
     }
 
     /**
@@ -151,8 +155,8 @@
      */
     public long newVersion(int random) {
         return states.values().stream()
-                        .mapToLong(state -> Math.max(
-                                state.mapVersion(), Math.max(state.preparedVersion(), state.armedVersion())))
+                        .mapToLong(state ->
+                                Math.max(state.mapVersion(), Math.max(state.preparedVersion(), state.armedVersion())))
                         .max()
                         .orElse(0)
                 + 1
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/RankState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/RankState.java
@@ -34,7 +34,6 @@
      * @return the copy
      */
     public RankState withReportedMs(long otherMs) {
-        return new RankState(
-                rank, epoch, open, step, mapVersion, preparedVersion, armedVersion, heldStep, otherMs);
+        return new RankState(rank, epoch, open, step, mapVersion, preparedVersion, armedVersion, heldStep, otherMs);
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
@@ -92,7 +92,9 @@
 
     private static double[] normalised(double[] counts, int ranks) {
         double mean = Arrays.stream(counts).sum() / ranks;
-        return mean == 0 ? counts.clone() : Arrays.stream(counts).map(count -> count / mean).toArray();
+        return mean == 0
+                ? counts.clone()
+                : Arrays.stream(counts).map(count -> count / mean).toArray();
     }
 
     private double[] loads() {
@@ -167,7 +169,8 @@
      * A change: an expert goes to another rank, and stays or leaves; another expert may leave that rank, and may go to
      * the first one. An expert of -1 means none.
      */
-    private record Change(int from, int expert, int to, boolean stays, int evicted, boolean exchanged, double potential) {}
+    private record Change(
+            int from, int expert, int to, boolean stays, int evicted, boolean exchanged, double potential) {}
 
     private @org.jspecify.annotations.Nullable Change bestChange(int from, int expert, int to, double toBeat) {
         if (taken[to] >= shape.spare() && !held[to][expert]) {
@@ -289,7 +292,10 @@
         return potential(rankLoad);
     }
 
-    /** The sum of high powers follows the heaviest rank, and still falls when one of several equally heavy ones gets lighter. */
+    /**
+     * The sum of high powers follows the heaviest rank, and still falls when one of several equally heavy ones gets
+     * lighter.
+     */
     private static double potential(double[] loads) {
         double sum = 0;
         for (double value : loads) {
--- /dev/null
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventScannerTest.java
@@ -0,0 +1,59 @@
+package org.kingcuproad.policy.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.RepeatedTest;
+import org.junit.jupiter.api.RepetitionInfo;
+import org.junit.jupiter.api.Test;
+
+/** Guards against parts of events that are passed on as whole ones. */
+class EventScannerTest {
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    @RepeatedTest(20)
+    void findsTheSameEventsHoweverTheBytesAreCut(RepetitionInfo repetition) {
+        Random random = new Random(repetition.getCurrentRepetition());
+        StringBuilder text = new StringBuilder();
+        for (int id = 1; id <= 30; id++) {
+            String end = id % 2 == 0 ? "\r\n" : "\n";
+            text.append("version: 3").append(end).append("id: ").append(id).append(end);
+            text.append("data: ")
+                    .append("x".repeat(random.nextInt(300)))
+                    .append(end)
+                    .append(end);
+        }
+        byte[] all = bytes(text.toString());
+        EventScanner scanner = new EventScanner();
+        List<StreamEvent> events = new ArrayList<>();
+        for (int at = 0; at < all.length; ) {
+            int end = Math.min(all.length, at + 1 + random.nextInt(200));
+            events.addAll(scanner.feed(Arrays.copyOfRange(all, at, end)));
+            at = end;
+        }
+
+        assertThat(events)
+                .extracting(StreamEvent::id)
+                .hasSize(30)
+                .startsWith(1L, 2L)
+                .endsWith(30L);
+        assertThat(events.stream().mapToInt(event -> event.bytes().length).sum())
+                .isEqualTo(all.length);
+        assertThat(scanner.hasPartialEvent()).isFalse();
+    }
+
+    @Test
+    void keepsTheBeginningOfAnEvent() {
+        EventScanner scanner = new EventScanner();
+
+        assertThat(scanner.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"))).hasSize(1);
+        assertThat(scanner.hasPartialEvent()).isTrue();
+    }
+}
--- /dev/null
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/FreshnessTest.java
@@ -0,0 +1,54 @@
+package org.kingcuproad.policy.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against keys that are accepted after they were taken away, on VMs without contact or after a suspension. */
+class FreshnessTest {
+
+    private static final long REVOKE_MS = 5_000;
+
+    @Test
+    void acceptsNoKeyBeforeTheFirstProof() {
+        assertThat(new Freshness(true, REVOKE_MS).acceptsKeys(0, 0)).isFalse();
+    }
+
+    @Test
+    void stopsAcceptingKeysBeforeTheBound() {
+        Freshness freshness = new Freshness(true, REVOKE_MS);
+        freshness.confirm(1_000, 50_000);
+
+        assertThat(freshness.acceptsKeys(5_000, 54_000)).isTrue();
+        assertThat(freshness.acceptsKeys(1_000 + REVOKE_MS - 1, 50_000 + REVOKE_MS - 1))
+                .isFalse();
+    }
+
+    @Test
+    void countsTheTimeOfASuspension() {
+        Freshness freshness = new Freshness(true, REVOKE_MS);
+        freshness.confirm(1_000, 50_000);
+
+        assertThat(freshness.acceptsKeys(1_010, 50_000 + REVOKE_MS))
+                .as("the steady clock stood still, the time of day did not")
+                .isFalse();
+    }
+
+    @Test
+    void countsTheSteadyTimeWhenTheTimeOfDayJumpsBack() {
+        Freshness freshness = new Freshness(true, REVOKE_MS);
+        freshness.confirm(1_000, 50_000);
+
+        assertThat(freshness.acceptsKeys(1_000 + REVOKE_MS, 48_000)).isFalse();
+    }
+
+    @Test
+    void asksForNoNewClientsBeforeItStopsServing() {
+        Freshness freshness = new Freshness(true, REVOKE_MS);
+        freshness.confirm(0, 0);
+
+        assertThat(freshness.ready(2_000, 2_000)).isTrue();
+        assertThat(freshness.ready(3_500, 3_500)).isFalse();
+        assertThat(freshness.acceptsKeys(3_500, 3_500)).isTrue();
+    }
+}
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/FakeGroup.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/FakeGroup.java
@@ -82,7 +82,8 @@
      *
      * @param frozenUntilMs time at which the VM of the rank wakes; orders to it are carried out then
      */
-    @Nullable Boolean order(int rank, EngineOrder order, long frozenUntilMs, long nowMs) {
+    @Nullable
+    Boolean order(int rank, EngineOrder order, long frozenUntilMs, long nowMs) {
         if (frozenUntilMs > nowMs) {
             late.add(new Late(frozenUntilMs, rank, order));
             return null;
@@ -169,7 +170,8 @@
                 used.add(rank.contents.get(rank.map));
             }
         }
-        long versions = List.of(ranks).stream().mapToLong(rank -> rank.map).distinct().count();
+        long versions =
+                List.of(ranks).stream().mapToLong(rank -> rank.map).distinct().count();
         if (versions > 1 || used.stream().distinct().count() > 1) {
             throw new AssertionError("pass " + step + " begins with different maps: "
                     + List.of(ranks).stream().map(rank -> rank.map).toList());
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/PassSwitchTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/PassSwitchTest.java
@@ -23,6 +23,7 @@
 
     /** At the end of a day nothing fails and no change begins, so a group that is still held stays so for good. */
     private static final long QUIET_END_MS = 20_000;
+
     private static final long RESCUE_MS = 300;
     private static final long SILENT_MS = 150;
     private static final long ORDER_TIMEOUT_MS = 25;
@@ -162,7 +163,8 @@
         }
     }
 
-    private record Troubles(double lostShare, double stopShare, boolean restart, boolean freeze, boolean freezeAtHold) {}
+    private record Troubles(
+            double lostShare, double stopShare, boolean restart, boolean freeze, boolean freezeAtHold) {}
 
     private static FakeGroup play(long seed, Troubles troubles) {
         Random random = new Random(seed);
@@ -172,10 +174,7 @@
             boolean quiet = nowMs > DAY_MS - QUIET_END_MS;
             if (!quiet && random.nextDouble() < troubles.stopShare) {
                 agents.stop(
-                        random.nextInt(RANKS),
-                        troubles.freeze,
-                        troubles.restart,
-                        nowMs + 500 + random.nextInt(4_000));
+                        random.nextInt(RANKS), troubles.freeze, troubles.restart, nowMs + 500 + random.nextInt(4_000));
             }
             agents.tick(nowMs, !quiet);
             group.advance(nowMs);
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/ReplicaPlannerTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/ReplicaPlannerTest.java
@@ -64,8 +64,8 @@
     void keepsEveryExpertWithinPlacesAndSpare(RepetitionInfo repetition) {
         int[][] lists = inTurn();
         for (int round = 0; round < 5; round++) {
-            int[][] planned =
-                    ReplicaPlanner.plan(SHAPE, lists, skewed(repetition.getCurrentRepetition() * 31L + round), EVEN, 0.001);
+            int[][] planned = ReplicaPlanner.plan(
+                    SHAPE, lists, skewed(repetition.getCurrentRepetition() * 31L + round), EVEN, 0.001);
 
             assertThat(Arrays.stream(planned)
                             .flatMapToInt(Arrays::stream)
