--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.policy.lockstep;
 
 import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Plans which ranks hold which experts of a set.
@@ -165,14 +166,33 @@
         return true;
     }
 
+    /** How an expert gets to another rank. */
+    private enum Way {
+        /** It stays where it was too. */
+        ADDED,
+        /** It leaves the rank that it comes from. */
+        MOVED,
+        /** It changes places with another expert. */
+        EXCHANGED
+    }
+
     /**
-     * A change: an expert goes to another rank, and stays or leaves; another expert may leave that rank, and may go to
-     * the first one. An expert of -1 means none.
+     * An expert goes to another rank; another expert may leave that rank for it, or -1.
+     *
+     * @param potential potential of the loads after the change
      */
-    private record Change(
-            int from, int expert, int to, boolean stays, int evicted, boolean exchanged, double potential) {}
+    private record Change(int from, int expert, int to, Way way, int evicted, double potential) {
+
+        private boolean stays() {
+            return way == Way.ADDED;
+        }
+
+        private boolean exchanged() {
+            return way == Way.EXCHANGED;
+        }
+    }
 
-    private @org.jspecify.annotations.Nullable Change bestChange(int from, int expert, int to, double toBeat) {
+    private @Nullable Change bestChange(int from, int expert, int to, double toBeat) {
         if (taken[to] >= shape.spare() && !held[to][expert]) {
             return null;
         }
@@ -183,25 +203,27 @@
             if (evicted >= 0 && (!holds[to][evicted] || evicted == expert)) {
                 continue;
             }
-            for (int variant = 0; variant < 3; variant++) {
-                boolean stays = variant == 0;
-                boolean exchanged = variant == 2;
-                boolean legal = exchanged
-                        ? evicted >= 0 && !holds[from][evicted] && (held[from][evicted] || taken[from] < shape.spare())
-                        : evicted < 0 || replicas[evicted] > 1;
-                if (legal) {
-                    Change change = new Change(from, expert, to, stays, evicted, exchanged, 0);
-                    double potential = potentialAfter(change);
-                    if (potential < least) {
-                        least = potential;
-                        best = new Change(from, expert, to, stays, evicted, exchanged, potential);
-                    }
+            for (Way way : Way.values()) {
+                Change change = new Change(from, expert, to, way, evicted, 0);
+                double potential = legal(change) ? potentialAfter(change) : Double.MAX_VALUE;
+                if (potential < least) {
+                    least = potential;
+                    best = new Change(from, expert, to, way, evicted, potential);
                 }
             }
         }
         return best;
     }
 
+    private boolean legal(Change change) {
+        if (!change.exchanged()) {
+            return change.evicted < 0 || replicas[change.evicted] > 1;
+        }
+        return change.evicted >= 0
+                && !holds[change.from][change.evicted]
+                && (held[change.from][change.evicted] || taken[change.from] < shape.spare());
+    }
+
     private double potentialAfter(Change change) {
         apply(change);
         double[] changed = loads(change);
@@ -212,9 +234,9 @@
     /** Computes the loads after a change that is already applied to the lists, from those before it. */
     private double[] loads(Change change) {
         double[] loads = rankLoad.clone();
-        shift(loads, change.expert, change.stays ? replicas[change.expert] - 1 : replicas[change.expert], change);
+        shift(loads, change.expert, change.stays() ? replicas[change.expert] - 1 : replicas[change.expert], change);
         if (change.evicted >= 0) {
-            int before = change.exchanged ? replicas[change.evicted] : replicas[change.evicted] + 1;
+            int before = change.exchanged() ? replicas[change.evicted] : replicas[change.evicted] + 1;
             shift(loads, change.evicted, before, change);
         }
         return loads;
@@ -234,12 +256,12 @@
 
     private void apply(Change change) {
         add(change.to, change.expert);
-        if (!change.stays) {
+        if (!change.stays()) {
             drop(change.from, change.expert);
         }
         if (change.evicted >= 0) {
             drop(change.to, change.evicted);
-            if (change.exchanged) {
+            if (change.exchanged()) {
                 add(change.from, change.evicted);
             }
         }
@@ -247,12 +269,12 @@
 
     private void undo(Change change) {
         if (change.evicted >= 0) {
-            if (change.exchanged) {
+            if (change.exchanged()) {
                 drop(change.from, change.evicted);
             }
             add(change.to, change.evicted);
         }
-        if (!change.stays) {
+        if (!change.stays()) {
             add(change.from, change.expert);
         }
         drop(change.to, change.expert);
