--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -141,6 +141,7 @@
                 && type.startsWith(EVENT_STREAM);
         reading = events ? Reading.EVENTS : Reading.HELD;
         if (!events) {
+            exchange.onProgress(places.nowMs());
             noteRead();
         }
     }
@@ -175,6 +176,7 @@
             return;
         }
         lastEventMs = places.nowMs();
+        exchange.onProgress(lastEventMs);
         noteRead();
         places.onEvent(lastEventMs);
         for (StreamEvent event : events) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -22,6 +22,7 @@
      */
     private static final double STREAM_START_SHARE = 0.65;
 
+    private static final long NEVER = -1;
     private static final long STREAM_PATIENCE_MS = 2_000;
     private static final int STREAM_PATIENCE_GOALS = 4;
 
@@ -38,6 +39,10 @@
     private final long giveUpMs;
     private final Set<String> triedUpstreams = new HashSet<>();
     private int sends;
+    private long firstSentMs = NEVER;
+    private long firstAnswerMs = NEVER;
+    private long lastProgressMs = NEVER;
+    private long longestGapMs;
     private boolean mayHaveRun;
     private boolean headSent;
     private boolean done;
@@ -122,9 +127,35 @@
         return triedUpstreams.contains(upstreamId);
     }
 
-    void onSend(String upstreamId) {
+    void onSend(String upstreamId, long nowMs) {
         sends++;
         triedUpstreams.add(upstreamId);
+        firstSentMs = firstSentMs == NEVER ? nowMs : firstSentMs;
+    }
+
+    /** Notes that a part of the answer arrived. */
+    void onProgress(long nowMs) {
+        if (lastProgressMs == NEVER) {
+            firstAnswerMs = nowMs;
+        } else {
+            longestGapMs = Math.max(longestGapMs, nowMs - lastProgressMs);
+        }
+        lastProgressMs = nowMs;
+    }
+
+    /** Returns the time from arrival to the first send, or -1 if it was not sent. */
+    long queuedMs() {
+        return firstSentMs == NEVER ? NEVER : firstSentMs - arrivedMs;
+    }
+
+    /** Returns the time from arrival to the first part of the answer, or -1 if there was none. */
+    long firstAnswerMs() {
+        return firstAnswerMs == NEVER ? NEVER : firstAnswerMs - arrivedMs;
+    }
+
+    /** Returns the longest pause between parts of the answer, in milliseconds. */
+    long longestGapMs() {
+        return longestGapMs;
     }
 
     boolean mayHaveRun() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestCheck.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestCheck.java
@@ -17,7 +17,6 @@
     /** A client that is told to come back reaches another gateway, which may know more. */
     private static final long ELSEWHERE_MS = 0;
 
-    /** Used for route priority if a request has no rank of its own. */
     private RequestCheck() {}
 
     /** Result of the check. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -170,7 +170,7 @@
     private void send(Exchange exchange, Upstream upstream, long nowMs) {
         Attempt attempt = new Attempt(this, exchange, upstream, nowMs);
         exchange.setAttempt(attempt);
-        exchange.onSend(upstream.entry().id());
+        exchange.onSend(upstream.entry().id(), nowMs);
         running.add(attempt);
         upstream.onSend(exchange.promptTokens());
         long maxIdleMs = exchange.route().repeatable() ? Long.MAX_VALUE : ONCE_MAX_IDLE_MS;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -82,7 +83,7 @@
             }
             var written = context.writeAndFlush(response);
             if (!keepAlive) {
-                written.addListener(io.netty.channel.ChannelFutureListener.CLOSE);
+                written.addListener(ChannelFutureListener.CLOSE);
             }
         }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -403,8 +404,7 @@
         }
         InetSocketAddress address = agents.get(0);
         for (int offset = 0; address != null && offset < values.length; offset += COUNTERS_A_DATAGRAM) {
-            long[] part =
-                    java.util.Arrays.copyOfRange(values, offset, Math.min(values.length, offset + COUNTERS_A_DATAGRAM));
+            long[] part = Arrays.copyOfRange(values, offset, Math.min(values.length, offset + COUNTERS_A_DATAGRAM));
             send(new RankMessage.Counters(name, rank, values.length, offset, part), address);
         }
     }
