Forget upstreams whose address another one has

Change: of several entries with one address the youngest counts; a 421 takes the upstream out; a send that reaches no upstream does not count as an attempt. Tests: UpstreamDirectoryTest, GatewayTest.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -124,7 +124,8 @@
         HttpResponseStatus status = response.status();
         boolean notExecuted = response.headers().contains(places.names().notExecuted());
         if (notExecuted || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-            discardedAs = new AttemptOutcome.NotRun("status " + status.code());
+            discardedAs = new AttemptOutcome.NotRun(
+                    "status " + status.code(), status.equals(HttpResponseStatus.MISDIRECTED_REQUEST));
         } else if (status.codeClass() == HttpStatusClass.SUCCESS
                 && !response.headers().contains(places.names().seal())) {
             discardedAs = new AttemptOutcome.Lost("success without a seal");
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
@@ -9,8 +9,12 @@
     /** The request was never written to the upstream. */
     record NotSent(String reason) implements AttemptOutcome {}
 
-    /** The upstream said that it did not run the request. */
-    record NotRun(String reason) implements AttemptOutcome {}
+    /**
+     * The upstream said that it did not run the request.
+     *
+     * @param replaced whether it is another upstream than the one expected at the address
+     */
+    record NotRun(String reason, boolean replaced) implements AttemptOutcome {}
 
     /** The request may have run, and its answer is lost or can't be used. */
     record Lost(String reason) implements AttemptOutcome {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -133,6 +133,11 @@
         firstSentMs = firstSentMs == NEVER ? nowMs : firstSentMs;
     }
 
+    /** Takes back a send that never reached its upstream, so that it does not count against the route's attempts. */
+    void onNotSent() {
+        sends--;
+    }
+
     /** Notes that a part of the answer arrived. */
     void onProgress(long nowMs) {
         if (lastProgressMs == NEVER) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -254,27 +254,8 @@
         exchange.setAttempt(null);
         exchange.setLastProblem(outcome.reason());
         long nowMs = nowMs();
-        boolean mayHaveRun = outcome instanceof AttemptOutcome.Lost || outcome instanceof AttemptOutcome.Failed;
-        if (mayHaveRun) {
-            exchange.setMayHaveRun();
-        }
-        boolean blamed = !(outcome instanceof AttemptOutcome.NotRun);
-        if (blamed && attempt.upstream().trust().onFailure(nowMs)) {
-            gateway.log()
-                    .event("upstream ejected")
-                    .field("upstream", attempt.upstream().entry().id())
-                    .field("reason", outcome.reason())
-                    .write();
-        }
-        if (blamed && !(outcome instanceof AttemptOutcome.Failed)) {
-            attempt.upstream().closeIdle();
-        }
-        boolean again = RepeatDecision.mayRepeat(
-                        exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.giveUpMs() - nowMs)
-                && order.stream()
-                        .anyMatch(other ->
-                                other.usable() && !exchange.tried(other.entry().id()))
-                && budget.tryExtra(nowMs);
+        noteOutcome(attempt, outcome, nowMs);
+        boolean again = mayTryAgain(exchange, outcome, nowMs);
         gateway.log()
                 .event("send failed")
                 .field("request", exchange.requestId())
@@ -292,6 +273,53 @@
         }
     }
 
+    /** Takes over what an outcome says of the request and of the upstream. */
+    private void noteOutcome(Attempt attempt, AttemptOutcome outcome, long nowMs) {
+        Exchange exchange = attempt.exchange();
+        Upstream upstream = attempt.upstream();
+        switch (outcome) {
+            case AttemptOutcome.NotSent notSent -> {
+                exchange.onNotSent();
+                blame(upstream, outcome, nowMs);
+                upstream.closeIdle();
+            }
+            case AttemptOutcome.NotRun notRun -> {
+                if (notRun.replaced()) {
+                    upstream.setReplaced();
+                }
+            }
+            case AttemptOutcome.Lost lost -> {
+                exchange.setMayHaveRun();
+                blame(upstream, outcome, nowMs);
+                upstream.closeIdle();
+            }
+            case AttemptOutcome.Failed failed -> {
+                exchange.setMayHaveRun();
+                blame(upstream, outcome, nowMs);
+            }
+        }
+    }
+
+    private void blame(Upstream upstream, AttemptOutcome outcome, long nowMs) {
+        if (upstream.trust().onFailure(nowMs)) {
+            gateway.log()
+                    .event("upstream ejected")
+                    .field("upstream", upstream.entry().id())
+                    .field("reason", outcome.reason())
+                    .write();
+        }
+    }
+
+    private boolean mayTryAgain(Exchange exchange, AttemptOutcome outcome, long nowMs) {
+        boolean allowed = RepeatDecision.mayRepeat(
+                exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.giveUpMs() - nowMs);
+        boolean possible = order.stream()
+                .anyMatch(
+                        other -> other.usable() && !exchange.tried(other.entry().id()));
+        // A send that reached no upstream costs nobody anything.
+        return allowed && possible && (outcome instanceof AttemptOutcome.NotSent || budget.tryExtra(nowMs));
+    }
+
     private void giveFinalAnswer(Exchange exchange, Attempt attempt, AttemptOutcome outcome) {
         if (exchange.headSent()) {
             gateway.abort(exchange, outcome.reason());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -18,6 +18,7 @@
     private int inFlight;
     private double unreadTokens;
     private boolean gone;
+    private boolean replaced;
     private double pace = 1;
     private long paceMs;
 
@@ -33,6 +34,12 @@
         entry = current;
     }
 
+    /** Notes that another upstream answered at the address. */
+    void setReplaced() {
+        replaced = true;
+        closeIdle();
+    }
+
     UpstreamTrust trust() {
         return trust;
     }
@@ -75,7 +82,7 @@
 
     /** Tells whether new requests may go there. */
     boolean usable() {
-        return !gone && !entry.draining();
+        return !gone && !replaced && !entry.draining();
     }
 
     /** Ends the use of the upstream. Requests in progress go on. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
@@ -266,6 +266,36 @@
         assertThat(response.header("Retry-After")).isPresent();
     }
 
+    @Test
+    void sendsAnOrderElsewhereIfAnUpstreamCannotBeReached() throws Exception {
+        FakeUpstream dead = upstream(request -> ok(request, "never"));
+        FakeUpstream alsoDead = upstream(request -> ok(request, "never"));
+        FakeUpstream sound = upstream(request -> ok(request, "done"));
+        dead.close();
+        alsoDead.close();
+        startGateway();
+
+        for (int number = 0; number < 6; number++) {
+            assertThat(post("/NON_IDEMPOTENT/order", "r" + number, "x").status())
+                    .isEqualTo(200);
+        }
+        assertThat(sound.requests()).hasSize(6);
+    }
+
+    @Test
+    void sendsNothingMoreToAnAddressThatAnotherUpstreamHas() throws Exception {
+        FakeUpstream other = upstream(request -> new FakeUpstream.Reply(
+                FakeUpstream.answer(FakeUpstream.header(request, "X-Request"), 421, "", ""), false));
+        FakeUpstream sound = upstream(request -> ok(request, "stock"));
+        startGateway();
+
+        for (int number = 0; number < 6; number++) {
+            assertThat(get("/IDEMPOTENT/a", "k1", "r" + number).status()).isEqualTo(200);
+        }
+        assertThat(other.requests()).hasSizeLessThanOrEqualTo(1);
+        assertThat(sound.requests()).hasSize(6);
+    }
+
     @Test
     void passesOverTheAnswerToAnotherRequest() throws Exception {
         upstream(request -> new FakeUpstream.Reply(
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
@@ -103,11 +103,18 @@
     }
 
     /**
-     * Returns all known upstreams.
+     * Returns the upstreams that may exist. Of several entries with one address only the youngest can: after a loss of
+     * power the entries of the former upstreams stay in the store for some seconds.
      *
      * @return a copy of the entries
      */
     public List<UpstreamEntry> entries() {
-        return new ArrayList<>(entries.values());
+        Map<String, UpstreamEntry> byAddress = new HashMap<>();
+        entries.values()
+                .forEach(entry -> byAddress.merge(
+                        entry.host() + ":" + entry.port(),
+                        entry,
+                        (one, other) -> one.bornMs() >= other.bornMs() ? one : other));
+        return new ArrayList<>(byAddress.values());
     }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
@@ -18,6 +18,16 @@
         return directory;
     }
 
+    @Test
+    void forgetsAnUpstreamWhoseAddressAYoungerOneHas() {
+        UpstreamDirectory directory = filled();
+        UpstreamEntry younger = new UpstreamEntry("3", "s", "h", 1, "dc", 1, false, 7);
+
+        directory.onEntry(younger);
+
+        assertThat(directory.entries()).containsExactlyInAnyOrder(younger, TWO);
+    }
+
     @Test
     void removesAtOnceWhileTheStoreIsInContact() {
         UpstreamDirectory directory = filled();
