Tell clients of a service that stands still to come back late

Change: while a service makes no progress, Retry-After is the longest pause that clients honour, spread by a third.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -11,12 +11,14 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.PlaceCandidate;
 import org.kingcuproad.policy.gateway.PlaceChoice;
 import org.kingcuproad.policy.gateway.PlaceQueue;
 import org.kingcuproad.policy.gateway.RefusalDecision;
 import org.kingcuproad.policy.gateway.RepeatDecision;
+import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.ServicePace;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -96,7 +98,7 @@
         budget.onRequest(nowMs);
         boolean anyUsable = order.stream().anyMatch(Upstream::usable);
         if (!anyUsable) {
-            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is known", RefusalDecision.RETRY_MS);
+            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is known");
             return;
         }
         queue.add(exchange);
@@ -104,18 +106,20 @@
         if (exchange.attempt() == null && !exchange.done()) {
             RefusalDecision decision = RefusalDecision.of(exchange.waiting(), queue.size(), pace, nowMs);
             if (decision.refused() && queue.remove(exchange)) {
-                refuse(
-                        exchange,
-                        ErrorKind.OVERLOADED,
-                        "the expected wait is " + decision.expectedWaitMs() + " ms",
-                        decision.retryAfterMs());
+                refuse(exchange, ErrorKind.OVERLOADED, "the expected wait is " + decision.expectedWaitMs() + " ms");
             }
         }
     }
 
-    private void refuse(Exchange exchange, ErrorKind kind, String detail, long retryAfterMs) {
-        long thirdOfTimeLeftMs = (exchange.giveUpMs() - nowMs()) / 3;
-        gateway.problem(exchange, kind, detail, Math.clamp(retryAfterMs, 0, Math.max(0, thirdOfTimeLeftMs)));
+    private void refuse(Exchange exchange, ErrorKind kind, String detail) {
+        long nowMs = nowMs();
+        long pauseMs = RetryAfter.of(
+                queue.size(),
+                pace,
+                exchange.giveUpMs() - nowMs,
+                ThreadLocalRandom.current().nextDouble(),
+                nowMs);
+        gateway.problem(exchange, kind, detail, pauseMs);
     }
 
     /** Sends waiting requests as long as there is room. */
@@ -338,7 +342,7 @@
         if (exchange.mayHaveRun()) {
             gateway.problem(exchange, ErrorKind.UPSTREAM_LOST, "the upstream was lost", -1);
         } else {
-            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream took the request", pace.retryAfterMs(queue.size()));
+            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream took the request");
         }
     }
 
@@ -364,7 +368,7 @@
             } else if (exchange.mayHaveRun()) {
                 gateway.problem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no answer in time", -1);
             } else {
-                refuse(exchange, ErrorKind.OVERLOADED, "no upstream had room in time", pace.retryAfterMs(queue.size()));
+                refuse(exchange, ErrorKind.OVERLOADED, "no upstream had room in time");
             }
         }
         for (Attempt attempt : new ArrayList<>(running)) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RefusalDecision.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RefusalDecision.java
@@ -7,12 +7,8 @@
  *
  * @param refused whether it is refused
  * @param expectedWaitMs expected wait for a place, in milliseconds
- * @param retryAfterMs when a refused client may come back, in milliseconds
  */
-public record RefusalDecision(boolean refused, long expectedWaitMs, long retryAfterMs) {
-
-    /** Pause after which it is worth asking again when nothing is known about when places become free. */
-    public static final long RETRY_MS = 500;
+public record RefusalDecision(boolean refused, long expectedWaitMs) {
 
     /**
      * Decides.
@@ -25,6 +21,6 @@
      */
     public static RefusalDecision of(Waiting request, int waiting, ServicePace pace, long nowMs) {
         long expectedWaitMs = pace.waitMs(waiting);
-        return new RefusalDecision(nowMs + expectedWaitMs > request.startByMs(), expectedWaitMs, expectedWaitMs);
+        return new RefusalDecision(nowMs + expectedWaitMs > request.startByMs(), expectedWaitMs);
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServicePace.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServicePace.java
@@ -70,16 +70,6 @@
         return Math.round(places * placeGapMs);
     }
 
-    /**
-     * Returns the time after which a refused request would find a place behind those that wait.
-     *
-     * @param waiting requests that wait
-     * @return milliseconds
-     */
-    public long retryAfterMs(int waiting) {
-        return waitMs(waiting + 1);
-    }
-
     /**
      * Tells whether any answer began or went on recently.
      *
