--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -53,6 +53,15 @@
     /** Agents forget a gateway that does not repeat its subscription within three of these. */
     private static final long SUBSCRIBE_MS = 1_000;
 
+    /**
+     * Longest wait for a change of the configuration. The proof that it is current is up to twice as old, and both
+     * readiness and denials need one that is younger than some seconds.
+     */
+    private static final long CONFIGURATION_WAIT_MS = 1_000;
+
+    /** Longest wait for a change of the upstreams; a silent connection is noticed half a second later. */
+    private static final long UPSTREAMS_WAIT_MS = 1_500;
+
     /** Upstreams are less than a few milliseconds away; a VM without power never answers. */
     private static final int CONNECT_TIMEOUT_MS = 250;
 
@@ -125,9 +134,16 @@
                 clock,
                 settings.storeAddress(),
                 knowledge.configurationListener(),
-                log);
+                log,
+                CONFIGURATION_WAIT_MS);
         this.upstreamFollower = new KindFollower<>(
-                dialect.upstreams(), eventLoop, clock, settings.storeAddress(), knowledge.upstreamListener(), log);
+                dialect.upstreams(),
+                eventLoop,
+                clock,
+                settings.storeAddress(),
+                knowledge.upstreamListener(),
+                log,
+                UPSTREAMS_WAIT_MS);
         this.peerLink = new PeerLink(log, settings.name(), peerLoads, this::onPace, clock);
         this.peerDirectory = new PeerDirectory(eventLoop, dialect.gateways(), settings, peerLoads, clock, log);
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
@@ -17,9 +17,6 @@
  */
 public final class KindFollower<T> {
 
-    /** Each answered wait proves that the knowledge is current; keys may be trusted for a few seconds only. */
-    private static final long WATCH_WAIT_MS = 1_500;
-
     /** Time beyond the wait after which a watch is taken for silent. */
     private static final long WATCH_SLACK_MS = 500;
 
@@ -39,6 +36,7 @@
     private final SerialHttpConnection connection;
     private final StoreListener<T> listener;
     private final DecisionLog log;
+    private final long watchWaitMs;
     private final List<StoreObject<T>> listed = new ArrayList<>();
     private long listAskedSteadyMs;
     private long listAskedWallMs;
@@ -55,6 +53,7 @@
      * @param store address of the store
      * @param listener receives what is learnt
      * @param log log of the process
+     * @param watchWaitMs longest wait of one watch, in milliseconds; knowledge is proved to be current as often
      */
     public KindFollower(
             StoreDialect<T> dialect,
@@ -62,13 +61,15 @@
             Clock clock,
             InetSocketAddress store,
             StoreListener<T> listener,
-            DecisionLog log) {
+            DecisionLog log,
+            long watchWaitMs) {
         this.dialect = dialect;
         this.eventLoop = eventLoop;
         this.clock = clock;
         this.connection = new SerialHttpConnection(eventLoop, store);
         this.listener = listener;
         this.log = log;
+        this.watchWaitMs = watchWaitMs;
     }
 
     /** Starts following. */
@@ -132,9 +133,9 @@
         long askedWallMs = clock.wallMs();
         connection.call(
                 HttpMethod.GET,
-                dialect.watchTarget(revision, WATCH_WAIT_MS),
+                dialect.watchTarget(revision, watchWaitMs),
                 NO_BODY,
-                WATCH_WAIT_MS + WATCH_SLACK_MS,
+                watchWaitMs + WATCH_SLACK_MS,
                 reply -> {
                     switch (reply) {
                         case HttpReply.Answer answer
