--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -1,10 +1,8 @@
 package org.kingcuproad.gateway;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -12,8 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -62,9 +58,6 @@
     /** Longest wait for a change of the upstreams; a silent connection is noticed half a second later. */
     private static final long UPSTREAMS_WAIT_MS = 1_500;
 
-    /** Upstreams are less than a few milliseconds away; a VM without power never answers. */
-    private static final int CONNECT_TIMEOUT_MS = 250;
-
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final int MAX_REQUEST_LINE_BYTES = 8_192;
     private static final int CHUNK_BYTES = 8_192;
@@ -228,27 +221,8 @@
 
     /** Opens a connection to an upstream for an attempt. */
     void connect(Upstream upstream, Attempt attempt, BiConsumer<Attempt, UpstreamLink> onOpen) {
-        UpstreamLink link = new UpstreamLink(upstream, clock, names().requestId());
         metrics.count("upstream_connections_opened");
-        new Bootstrap()
-                .group(eventLoop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel opened) {
-                        opened.pipeline().addLast(new HttpClientCodec(), link);
-                    }
-                })
-                .connect(upstream.entry().host(), upstream.entry().port())
-                .addListener((ChannelFutureListener) future -> {
-                    if (future.isSuccess()) {
-                        onOpen.accept(attempt, link);
-                    } else {
-                        attempt.onBroken("connection failed: " + future.cause());
-                    }
-                });
+        UpstreamConnector.connect(eventLoop, clock, names().requestId(), upstream, attempt, onOpen);
     }
 
     /** Runs a step after the current one. */
