--- /dev/null
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/OwnHeaders.java
@@ -0,0 +1,17 @@
+package org.kingcuproad.agent;
+
+import java.util.Locale;
+import java.util.Set;
+import org.kingcuproad.runtime.http.HopHeaders;
+
+/** Headers that are not passed on because each connection of the agent sets its own. */
+final class OwnHeaders {
+
+    private static final Set<String> NAMES = Set.of("content-length", "host");
+
+    private OwnHeaders() {}
+
+    static boolean contains(String name) {
+        return HopHeaders.contains(name) || NAMES.contains(name.toLowerCase(Locale.ROOT));
+    }
+}
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -49,7 +49,7 @@
     UpstreamCall send(Dispatch dispatch, String traceparent, UpstreamListener listener) {
         RequestBuilder request = new RequestBuilder(dispatch.getMethod(), true).setUrl(baseUrl + dispatch.getPath());
         dispatch.getHeadersList().stream()
-                .filter(header -> !HopHeaders.contains(header.getName()))
+                .filter(header -> !OwnHeaders.contains(header.getName()))
                 .forEach(header -> request.addHeader(header.getName(), header.getValue()));
         request.setHeader(REQUEST_ID, dispatch.getRequestId());
         if (!traceparent.isEmpty()) {
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
@@ -64,7 +64,7 @@
         boolean chunked = headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true);
         delimited = chunked || length != null || withoutBody(status);
         List<Map.Entry<String, String>> passedOn = headers.entries().stream()
-                .filter(header -> !HopHeaders.contains(header.getKey()))
+                .filter(header -> !OwnHeaders.contains(header.getKey()))
                 .toList();
         listener.onHead(status, passedOn);
         return state();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Forwarding.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Forwarding.java
@@ -20,21 +20,13 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.kingcuproad.policy.gateway.StreamEvent;
+import org.kingcuproad.runtime.http.HopHeaders;
 
 /** Makes the messages that are passed on: without the headers that concern only one connection. */
 final class Forwarding {
 
-    private static final Set<String> HOP_HEADERS = Set.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "expect");
+    /** The gateway answers the expectation itself and sends whole requests. */
+    private static final String EXPECT = "expect";
 
     private static final int MAX_URGENCY = 9;
 
@@ -106,7 +98,8 @@
                 .collect(Collectors.toSet());
         HttpHeaders kept = headers.copy();
         List.copyOf(headers.names()).stream()
-                .filter(name -> HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT))
+                .filter(name -> HopHeaders.contains(name)
+                        || EXPECT.equalsIgnoreCase(name)
                         || named.contains(name.toLowerCase(Locale.ROOT)))
                 .forEach(kept::remove);
         return kept;
