--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -23,7 +23,9 @@
     private static final double STREAM_START_SHARE = 0.65;
 
     private static final long NEVER = -1;
+    /** Shortest gap after which clients leave a stream, as the users state it. */
     private static final long STREAM_PATIENCE_MS = 2_000;
+    /** Goals after which clients leave a stream, if that is longer. */
     private static final int STREAM_PATIENCE_GOALS = 4;
 
     private final ClientConnection connection;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Forwarding.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Forwarding.java
@@ -28,6 +28,7 @@
     /** The gateway answers the expectation itself and sends whole requests. */
     private static final String EXPECT = "expect";
 
+    /** Least urgent value that upstreams know. */
     private static final int MAX_URGENCY = 9;
 
     private Forwarding() {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -58,8 +58,11 @@
     /** Longest wait for a change of the upstreams; a silent connection is noticed half a second later. */
     private static final long UPSTREAMS_WAIT_MS = 1_500;
 
+    /** Connections not yet accepted; a full queue delays a client by seconds, and all return after a restart. */
     private static final int ACCEPT_BACKLOG = 1_024;
+    /** Usual limit of HTTP servers, where the configuration allows no more. */
     private static final int MAX_REQUEST_LINE_BYTES = 8_192;
+    /** Largest piece of a body in one message, the default of Netty. */
     private static final int CHUNK_BYTES = 8_192;
 
     /** Knowledge older than this may miss a route or key that exists, so its absence is no reason for a 4xx. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayMetrics.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayMetrics.java
@@ -10,7 +10,9 @@
 /** Counters and latency histograms of a gateway, as text of one {@code name value} pair a line. */
 final class GatewayMetrics {
 
+    /** Quantiles cover a few fetches of the metrics, which come every some seconds. */
     private static final long WINDOW_S = 30;
+
     private static final double[] QUANTILES = {0.5, 0.95, 0.99};
 
     private final MetricRegistry registry = new MetricRegistry();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
@@ -14,8 +14,11 @@
     /** New gateways also greet the known ones by datagram, so this only finds those whose greeting was lost. */
     private static final long REFRESH_MS = 10_000;
 
+    /** Pause after a failed call; calls count against a rate that all processes share. */
     private static final long RETRY_MS = 1_000;
+    /** A slow store answers in some hundred milliseconds. */
     private static final long TIMEOUT_MS = 1_000;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_CREATED = 201;
     private static final int STATUS_CONFLICT = 409;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
@@ -26,6 +26,7 @@
 /** Answers each request on one address with a status and a text. */
 final class StatusServer {
 
+    /** Questions have no body. */
     private static final int MAX_REQUEST_BYTES = 4_096;
 
     private StatusServer() {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
@@ -24,8 +24,11 @@
     /** Engines join a group rarely, and a new formation waits for its agents anyway. */
     private static final long LISTING_MS = 5_000;
 
+    /** Pause after a failed call; calls count against a rate that all processes share. */
     private static final long RETRY_MS = 1_000;
+    /** A slow store answers in some hundred milliseconds. */
     private static final long TIMEOUT_MS = 1_000;
+
     private static final int STATUS_OK = 200;
     private static final byte[] NO_BODY = new byte[0];
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/PaceNotice.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/PaceNotice.java
@@ -27,6 +27,7 @@
     /** A pace below this is the usual variation. */
     private static final double SLOW = 1.2;
 
+    /** Several notices arrive before a gateway forgets a pace, so single lost ones do not matter. */
     private static final long REPEAT_MS = 200;
 
     private final BiConsumer<ByteBuf, InetSocketAddress> output;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -51,11 +51,17 @@
     /** A wish holds a whole map, and the link of an engine's VM is narrow; a lost datagram is replaced this soon. */
     private static final long WISH_REPEAT_MS = 60;
 
+    /** A shift of popularity shows in two or three readings, well within its length of some seconds. */
     private static final long COUNTERS_MS = 200;
+    /** A restarted agent is known again after this time; the datagrams are some bytes. */
     private static final long HELLO_MS = 1_000;
+    /** The engine on the same VM answers in milliseconds, but a busy processor may take a tenth of a second. */
     private static final long CALL_TIMEOUT_MS = 300;
+
     private static final int STATUS_OK = 200;
+    /** A wish with the map of 63 ranks, 8 sets and 5 places needs about 6 KB. */
     private static final int MAX_DATAGRAM_BYTES = 16 << 10;
+    /** Counters of up to five bytes that fit into one packet on the usual links. */
     private static final int COUNTERS_A_DATAGRAM = 288;
 
     /** Rank 0 decides, rank 1 ends a hold that rank 0 left behind. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
@@ -14,6 +14,7 @@
 /** Acts at the engine of another rank while that rank's agent is silent. Such calls are charged, so they are rare. */
 final class RankProxy {
 
+    /** The network adds about a millisecond to the answer of an engine. */
     private static final long TIMEOUT_MS = 100;
 
     /** Least time between two reports. */
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventScanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventScanner.java
@@ -12,6 +12,7 @@
  */
 public final class EventScanner {
 
+    /** An event of the users has about 70 bytes; several may arrive together. */
     private static final int INITIAL_BYTES = 512;
 
     private byte[] pending = new byte[INITIAL_BYTES];
