Keep one rule for whose turn it is to be armed

The agent asked it in three places, and one of them twice in a row. The heaviest loads are computed once a plan instead of twice, the release of a pass and readiness have one expression each, and an unused method of the log writer is gone. No change of behaviour.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -257,8 +257,12 @@
         return leavingSinceMs >= 0;
     }
 
+    private boolean ready() {
+        return knowledge.ready() && !leaving();
+    }
+
     private StatusServer.Status readiness() {
-        boolean ready = knowledge.ready() && !leaving();
+        boolean ready = ready();
         return new StatusServer.Status(ready, ready ? "ready\n" : "not ready\n");
     }
 
@@ -446,7 +450,7 @@
         knowledge.sweep(nowMs);
         List.copyOf(services.values()).forEach(places -> places.sweep(nowMs));
         List.copyOf(connections).forEach(connection -> connection.sweep(nowMs));
-        boolean ready = knowledge.ready() && !leaving();
+        boolean ready = ready();
         if (ready != lastReady) {
             lastReady = ready;
             log.event("readiness changed")
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -14,6 +14,7 @@
 import org.kingcuproad.policy.lockstep.PassPace;
 import org.kingcuproad.policy.lockstep.PassSwitch;
 import org.kingcuproad.policy.lockstep.RankState;
+import org.kingcuproad.policy.lockstep.RankWish;
 import org.kingcuproad.policy.lockstep.ReplicaPlanner;
 import org.kingcuproad.policy.lockstep.SwitchAction;
 import org.kingcuproad.runtime.log.DecisionLog;
@@ -68,13 +69,12 @@
     private final ExpertLoads longLoads = new ExpertLoads(LONG_HALF_LIFE_MS);
     private final ExpertLoads shortLoads = new ExpertLoads(SHORT_HALF_LIFE_MS);
     private final SortedMap<Integer, Held> held = new TreeMap<>();
+    private final Map<Integer, Double> paces = new HashMap<>();
+    private final Map<Integer, Long> heardMs = new HashMap<>();
     private final PassPace pace = new PassPace(CALM_PASS_MS, TIGHT_PASS_MS, LEAST_PRESSURE);
     private long plannedMs = Long.MIN_VALUE / 2;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
 
-    private final Map<Integer, Double> paces = new HashMap<>();
-    private final Map<Integer, Long> heardMs = new HashMap<>();
-
     private record Held(long epoch, long mapVersion, int[][] bySet) {}
 
     MapCoordinator(int ranks, int ownRank, GroupShape shape, DecisionLog log) {
@@ -104,9 +104,9 @@
         passSwitch.onState(state);
     }
 
-    /** Tells whether the wish to be armed is for a rank already. */
-    boolean mayArm(int rank, long nowMs) {
-        return passSwitch.mayArm(rank, nowMs);
+    /** Tells whether a rank is to follow a wish now; ranks are armed one after the other. */
+    boolean mayFollow(RankWish wish, int rank, long nowMs) {
+        return !(wish instanceof RankWish.Armed) || passSwitch.mayArm(rank, nowMs);
     }
 
     /** Ends the hold of a coordinator that has fallen silent. */
@@ -179,8 +179,12 @@
         if (shortLoads.total() < LEAST_CHOICES || current.sets() != shape.sets()) {
             return;
         }
-        boolean shifted = heaviest(current, shortLoads) - heaviest(current, longLoads) > SHIFT * shape.sets();
+        double[] rankPaces = paces();
+        double heaviestByShort = heaviest(current, shortLoads, rankPaces);
+        double heaviestByLong = heaviest(current, longLoads, rankPaces);
+        boolean shifted = heaviestByShort - heaviestByLong > SHIFT * shape.sets();
         ExpertLoads loads = shifted ? shortLoads : longLoads;
+        double before = shifted ? heaviestByShort : heaviestByLong;
         double pressure = pace.pressure();
         ExpertLists planned = current;
         for (int set = 0; set < shape.sets(); set++) {
@@ -190,19 +194,17 @@
                             shape,
                             byRank(current, set),
                             loads.ofSet(set, shape.experts()),
-                            paces(),
+                            rankPaces,
                             LEAST_GAIN_PER_COPY / pressure));
         }
-        double before = heaviest(current, loads);
-        double after = heaviest(planned, loads);
-        int copies = planned.copiesFrom(current);
+        double after = heaviest(planned, loads, rankPaces);
         if (before - after < LEAST_GAIN / pressure) {
             return;
         }
         long version = passSwitch.newVersion(ThreadLocalRandom.current().nextInt());
         log.event("map change planned")
                 .field("version", version)
-                .field("copies", copies)
+                .field("copies", planned.copiesFrom(current))
                 .field("heaviestBeforePercent", Math.round(before / shape.sets() * 100))
                 .field("heaviestAfterPercent", Math.round(after / shape.sets() * 100))
                 .field("shifted", shifted)
@@ -213,10 +215,10 @@
     }
 
     /** Returns the load of the heaviest rank, in mean loads, summed over the sets. */
-    private double heaviest(ExpertLists lists, ExpertLoads loads) {
+    private double heaviest(ExpertLists lists, ExpertLoads loads, double[] rankPaces) {
         return IntStream.range(0, shape.sets())
                 .mapToDouble(set -> ReplicaPlanner.heaviestLoad(
-                        shape, byRank(lists, set), loads.ofSet(set, shape.experts()), paces()))
+                        shape, byRank(lists, set), loads.ofSet(set, shape.experts()), rankPaces))
                 .sum();
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -92,7 +92,7 @@
     private int[][] experts = new int[0][];
     private @Nullable RankWish wish;
     private long wishEpoch;
-    private boolean holderTurnTold;
+    private boolean holdersTurnTold;
     private long wishToldMs = Long.MIN_VALUE / 2;
     private long reportedMs = Long.MIN_VALUE / 2;
     private double pace = 1;
@@ -295,7 +295,7 @@
                                 running.onRelease(release.step(), accepted, clock.steadyMs());
                                 report();
                             }));
-                case SwitchAction.Wish wanted -> tellWish(name, own.epoch(), wanted.wish());
+                case SwitchAction.Wish wanted -> tellWish(running, name, own.epoch(), wanted.wish());
             }
         }
         if (!running.active() && own.rank() == 0) {
@@ -317,8 +317,10 @@
                 .ifPresent(proxy -> proxy.poll(found -> {
                     running.onProxied(found);
                     RankWish wanted = wish;
-                    boolean turn = !(wanted instanceof RankWish.Armed) || running.mayArm(rank, clock.steadyMs());
-                    if (running.active() && wanted != null && turn && found.epoch() == wishEpoch) {
+                    if (running.active()
+                            && wanted != null
+                            && found.epoch() == wishEpoch
+                            && running.mayFollow(wanted, rank, clock.steadyMs())) {
                         proxy.orders().follow(found, wanted, () -> {});
                     }
                 }));
@@ -331,19 +333,16 @@
                         rank, unused -> new RankProxy(rank, dialect, eventLoop, engine, clock, log)));
     }
 
-    private void tellWish(String name, long epoch, RankWish wanted) {
+    private void tellWish(MapCoordinator running, String name, long epoch, RankWish wanted) {
         long nowMs = clock.steadyMs();
         boolean repeated = wish != null && wish.sameAs(wanted);
-        boolean turnNow = coordinator != null && coordinator.mayArm(PassSwitch.HOLDER, nowMs);
-        boolean newTurn = wanted instanceof RankWish.Armed && turnNow && !holderTurnTold;
-        holderTurnTold = turnNow;
+        boolean holdersTurn = running.mayFollow(wanted, PassSwitch.HOLDER, nowMs);
+        boolean newTurn = holdersTurn && !holdersTurnTold;
+        holdersTurnTold = holdersTurn;
         if (!repeated || newTurn || nowMs - wishToldMs >= WISH_REPEAT_MS) {
             wishToldMs = nowMs;
             RankMessage message = new RankMessage.Wanted(name, epoch, wanted);
-            MapCoordinator running = coordinator;
             InetSocketAddress holder = agents.get(PassSwitch.HOLDER);
-            boolean holdersTurn = !(wanted instanceof RankWish.Armed)
-                    || (running != null && running.mayArm(PassSwitch.HOLDER, nowMs));
             directory.peers().stream()
                     .filter(peer -> holdersTurn || !peer.equals(holder))
                     .forEach(peer -> send(message, peer));
@@ -363,14 +362,15 @@
         if (current == null || wanted == null || current.epoch() != wishEpoch) {
             return;
         }
-        boolean turn = !(wanted instanceof RankWish.Armed)
-                || current.rank() != 0
-                || (coordinator != null && coordinator.mayArm(0, clock.steadyMs()));
+        MapCoordinator running = coordinator;
+        boolean turn = current.rank() != 0
+                || (running == null
+                        ? !(wanted instanceof RankWish.Armed)
+                        : running.mayFollow(wanted, 0, clock.steadyMs()));
         if (!turn) {
             return;
         }
         if (EngineOrder.towards(current, wanted).isEmpty()) {
-            MapCoordinator running = coordinator;
             if (running == null || !running.active()) {
                 wish = null;
             }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -281,8 +281,7 @@
         heldStep = holder.heldStep();
         epoch = own.epoch();
         if (!armsUncertain) {
-            enter(Phase.RELEASING, nowMs);
-            return List.of(new SwitchAction.Release(heldStep));
+            return startReleasing(nowMs);
         }
         return startClearing(current, random, nowMs);
     }
@@ -331,8 +330,7 @@
     private List<SwitchAction> whenArming(Optional<ExpertLists> current, int random, long nowMs) {
         if (all(nowMs, state -> state.armedVersion() == version)) {
             armsUncertain = false;
-            enter(Phase.RELEASING, nowMs);
-            return List.of(new SwitchAction.Release(heldStep));
+            return startReleasing(nowMs);
         }
         if (nowMs - phaseSinceMs > ARM_LIMIT_MS) {
             return startClearing(current, random, nowMs);
@@ -362,13 +360,17 @@
         // A newer prepared version makes the orders of this change void as well.
         if (all(nowMs, state -> state.preparedVersion() >= version && state.armedVersion() == RankState.NONE)) {
             armsUncertain = false;
-            enter(Phase.RELEASING, nowMs);
-            return List.of(new SwitchAction.Release(heldStep));
+            return startReleasing(nowMs);
         }
         ExpertLists map = target;
         return map == null ? List.of() : List.of(new SwitchAction.Wish(new RankWish.Cleared(version, map)));
     }
 
+    private List<SwitchAction> startReleasing(long nowMs) {
+        enter(Phase.RELEASING, nowMs);
+        return List.of(new SwitchAction.Release(heldStep));
+    }
+
     private List<SwitchAction> whenReleasing(long nowMs) {
         RankState holder = states.get(HOLDER);
         if (holder != null && holder.heldStep() != heldStep && holder.reportedMs() > phaseSinceMs) {
--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
@@ -47,15 +47,6 @@
         }
     }
 
-    /**
-     * Returns the number of lines dropped so far and not yet reported.
-     *
-     * @return the number
-     */
-    public long dropped() {
-        return dropped.get();
-    }
-
     /**
      * Waits until all lines are written, or the time is over.
      *
