Read the answers of engines and store in one place

The rank agent and its directory had the same five steps for each kind of body. No change of behaviour.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
@@ -26,7 +26,6 @@
     /** Pause after a failure; calls count against a rate that all processes share. */
     private static final long RETRY_PAUSE_MS = 250;
 
-    private static final int STATUS_OK = 200;
     private static final int STATUS_GONE = 410;
     private static final byte[] NO_BODY = new byte[0];
 
@@ -94,7 +93,7 @@
         }
         connection.call(HttpMethod.GET, dialect.listTarget(after), NO_BODY, LIST_TIMEOUT_MS, reply -> {
             switch (reply) {
-                case HttpReply.Answer answer when answer.status() == STATUS_OK -> onPage(answer.body(), after);
+                case HttpReply.Answer answer when answer.ok() -> onPage(answer.body(), after);
                 case HttpReply.Answer answer -> restart("status " + answer.status());
                 case HttpReply.Lost lost -> restart(lost.reason());
             }
@@ -139,7 +138,7 @@
                 reply -> {
                     switch (reply) {
                         case HttpReply.Answer answer
-                        when answer.status() == STATUS_OK -> onWatched(answer.body(), askedSteadyMs, askedWallMs);
+                        when answer.ok() -> onWatched(answer.body(), askedSteadyMs, askedWallMs);
                         case HttpReply.Answer answer
                         when answer.status() == STATUS_GONE -> {
                             log.event("store history gone")
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
@@ -19,7 +19,6 @@
     /** A slow store answers in some hundred milliseconds. */
     private static final long TIMEOUT_MS = 1_000;
 
-    private static final int STATUS_OK = 200;
     private static final int STATUS_CREATED = 201;
     private static final int STATUS_CONFLICT = 409;
     private static final byte[] NO_BODY = new byte[0];
@@ -56,8 +55,7 @@
         byte[] body = dialect.registration(name, own);
         connection.call(HttpMethod.POST, dialect.createTarget(), body, TIMEOUT_MS, reply -> {
             switch (reply) {
-                case HttpReply.Answer answer
-                when answer.status() == STATUS_OK || answer.status() == STATUS_CREATED -> list();
+                case HttpReply.Answer answer when answer.ok() || answer.status() == STATUS_CREATED -> list();
                 case HttpReply.Answer answer when answer.status() == STATUS_CONFLICT -> replace(body);
                 case HttpReply.Answer answer -> again(this::start, "status " + answer.status(), RETRY_MS);
                 case HttpReply.Lost lost -> again(this::start, lost.reason(), RETRY_MS);
@@ -68,7 +66,7 @@
     private void replace(byte[] body) {
         connection.call(HttpMethod.PUT, dialect.replaceTarget(name), body, TIMEOUT_MS, reply -> {
             switch (reply) {
-                case HttpReply.Answer answer when answer.status() == STATUS_OK -> list();
+                case HttpReply.Answer answer when answer.ok() -> list();
                 case HttpReply.Answer answer -> again(this::start, "status " + answer.status(), RETRY_MS);
                 case HttpReply.Lost lost -> again(this::start, lost.reason(), RETRY_MS);
             }
@@ -81,7 +79,7 @@
         }
         connection.call(HttpMethod.GET, dialect.listTarget(Optional.empty()), NO_BODY, TIMEOUT_MS, reply -> {
             switch (reply) {
-                case HttpReply.Answer answer when answer.status() == STATUS_OK -> onListing(answer.body());
+                case HttpReply.Answer answer when answer.ok() -> onListing(answer.body());
                 case HttpReply.Answer answer -> again(this::list, "status " + answer.status(), RETRY_MS);
                 case HttpReply.Lost lost -> again(this::list, lost.reason(), RETRY_MS);
             }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
@@ -10,9 +9,9 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.kingcuproad.gateway.HttpReply;
 import org.kingcuproad.gateway.SerialHttpConnection;
 import org.kingcuproad.gateway.StoreDialect;
+import org.kingcuproad.gateway.StorePage;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.lockstep.GroupShape;
@@ -29,14 +28,13 @@
     /** A slow store answers in some hundred milliseconds. */
     private static final long TIMEOUT_MS = 1_000;
 
-    private static final int STATUS_OK = 200;
     private static final byte[] NO_BODY = new byte[0];
 
     private final RankAgentSettings settings;
     private final StoreDialect<UpstreamEntry> register;
     private final StoreDialect<GatewayConfiguration> configuration;
     private final EventLoop eventLoop;
-    private final DecisionLog log;
+    private final ReplyReader replies;
     private final SerialHttpConnection store;
     private final Map<String, InetSocketAddress> engines = new HashMap<>();
     private List<InetSocketAddress> peers = List.of();
@@ -52,28 +50,16 @@
         this.register = register;
         this.configuration = configuration;
         this.eventLoop = eventLoop;
-        this.log = log;
+        this.replies = new ReplyReader(log);
         this.store = new SerialHttpConnection(eventLoop, settings.storeAddress());
     }
 
     /** Reads the configuration until it tells the shape, then the register again and again. */
     void start() {
         store.call(HttpMethod.GET, configuration.listTarget(Optional.empty()), NO_BODY, TIMEOUT_MS, reply -> {
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    shape = configuration.readPage(answer.body()).objects().stream()
-                            .flatMap(object -> object.value().stream())
-                            .flatMap(current ->
-                                    Optional.ofNullable(current.services().get(settings.service())).stream())
-                            .flatMap(service -> service.shape().stream())
-                            .findFirst()
-                            .orElse(null);
-                } catch (IOException unreadable) {
-                    log.event("unreadable configuration")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
+            shape = replies.read(reply, "configuration", configuration::readPage)
+                    .flatMap(this::shapeIn)
+                    .orElse(null);
             if (shape == null) {
                 eventLoop.schedule(this::start, RETRY_MS, TimeUnit.MILLISECONDS);
             } else {
@@ -84,23 +70,24 @@
 
     private void readRegister() {
         store.call(HttpMethod.GET, register.relaxedListTarget(), NO_BODY, TIMEOUT_MS, reply -> {
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    onRegister(register.readPage(answer.body()).objects().stream()
-                            .flatMap(object -> object.value().stream())
-                            .filter(entry -> entry.service().equals(settings.service()))
-                            .toList());
-                } catch (IOException unreadable) {
-                    log.event("unreadable register")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
+            replies.read(reply, "register", register::readPage).ifPresent(this::onRegister);
             eventLoop.schedule(this::readRegister, LISTING_MS, TimeUnit.MILLISECONDS);
         });
     }
 
-    private void onRegister(List<UpstreamEntry> entries) {
+    private Optional<GroupShape> shapeIn(StorePage<GatewayConfiguration> page) {
+        return page.objects().stream()
+                .flatMap(object -> object.value().stream())
+                .flatMap(current -> Optional.ofNullable(current.services().get(settings.service())).stream())
+                .flatMap(service -> service.shape().stream())
+                .findFirst();
+    }
+
+    private void onRegister(StorePage<UpstreamEntry> page) {
+        List<UpstreamEntry> entries = page.objects().stream()
+                .flatMap(object -> object.value().stream())
+                .filter(entry -> entry.service().equals(settings.service()))
+                .toList();
         engines.clear();
         entries.forEach(entry -> engines.put(entry.host(), new InetSocketAddress(entry.host(), entry.port())));
         peers = entries.stream()
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -13,7 +13,6 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -22,7 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.gateway.Clock;
-import org.kingcuproad.gateway.HttpReply;
 import org.kingcuproad.gateway.SerialHttpConnection;
 import org.kingcuproad.gateway.StoreDialect;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
@@ -58,7 +56,6 @@
     /** The engine on the same VM answers in milliseconds, but a busy processor may take a tenth of a second. */
     private static final long CALL_TIMEOUT_MS = 300;
 
-    private static final int STATUS_OK = 200;
     /** A wish with the map of 63 ranks, 8 sets and 5 places needs about 6 KB. */
     private static final int MAX_DATAGRAM_BYTES = 16 << 10;
     /** Counters of up to five bytes that fit into one packet on the usual links. */
@@ -74,6 +71,7 @@
     private final EventLoop eventLoop;
     private final Clock clock;
     private final DecisionLog log;
+    private final ReplyReader replies;
     private final SerialHttpConnection reports;
     private final SerialHttpConnection counters;
     private final GroupDirectory directory;
@@ -123,6 +121,7 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        this.replies = new ReplyReader(log);
         this.reports = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.counters = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.directory = new GroupDirectory(settings, register, configuration, eventLoop, log);
@@ -180,15 +179,7 @@
         reportedMs = clock.steadyMs();
         reports.call(HttpMethod.GET, dialect.reportTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             reporting = false;
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    onReport(dialect.readReport(answer.body()));
-                } catch (IOException unreadable) {
-                    log.event("unreadable report")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
+            replies.read(reply, "report", dialect::readReport).ifPresent(this::onReport);
         });
     }
 
@@ -230,18 +221,11 @@
         counting = true;
         counters.call(HttpMethod.GET, dialect.expertsTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             counting = false;
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    EngineDialect.HeldExperts held = dialect.readExperts(answer.body());
-                    experts = held.bySet();
-                    expertsVersion = held.mapVersion();
-                    expertsEpoch = epoch;
-                } catch (IOException unreadable) {
-                    log.event("unreadable experts")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
+            replies.read(reply, "experts", dialect::readExperts).ifPresent(held -> {
+                experts = held.bySet();
+                expertsVersion = held.mapVersion();
+                expertsEpoch = epoch;
+            });
         });
     }
 
@@ -388,15 +372,8 @@
         counting = true;
         counters.call(HttpMethod.GET, dialect.countersTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             counting = false;
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
-                try {
-                    onCounters(name, current.rank(), dialect.readCounters(answer.body()));
-                } catch (IOException unreadable) {
-                    log.event("unreadable counters")
-                            .field("reason", String.valueOf(unreadable))
-                            .write();
-                }
-            }
+            replies.read(reply, "counters", dialect::readCounters)
+                    .ifPresent(values -> onCounters(name, current.rank(), values));
         });
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
@@ -20,7 +20,6 @@
     /** Least time between two reports. */
     private static final long POLL_MS = 50;
 
-    private static final int STATUS_OK = 200;
     private static final byte[] NO_BODY = new byte[0];
 
     private final int rank;
@@ -61,7 +60,7 @@
         polledMs = nowMs;
         connection.call(HttpMethod.GET, dialect.reportTarget(), NO_BODY, TIMEOUT_MS, reply -> {
             polling = false;
-            if (reply instanceof HttpReply.Answer answer && answer.status() == STATUS_OK) {
+            if (reply instanceof HttpReply.Answer answer && answer.ok()) {
                 try {
                     dialect.readReport(answer.body())
                             .state(clock.steadyMs())
