Close the listener before HttpServer.close returns

The listener was closed on its event loop later; a call made before that got a connection, which was then reset, so the write was rightly reported as in doubt. Test: refusesConnectionsOnceItIsClosed keeps the event loop busy; it failed before the change and passes with it.

--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -79,9 +80,15 @@
         return connections.drain();
     }
 
-    /** Stops listening and closes all connections at once. Call {@link #drain()} first for a graceful shutdown. */
+    /**
+     * Stops listening and closes all connections at once. Call {@link #drain()} first for a graceful shutdown. When
+     * this returns, new connections are refused; only a call on the server's own event loop returns earlier.
+     */
     public void close() {
-        listener.close();
+        ChannelFuture closed = listener.close();
+        if (!listener.eventLoop().inEventLoop()) {
+            closed.awaitUninterruptibly();
+        }
         connections.closeAll();
     }
 
--- a/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/http/HttpServerTest.java
+++ b/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/http/HttpServerTest.java
@@ -1,20 +1,27 @@
 package org.kingcuproad.runtime.http;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.net.ConnectException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Guards against a server that answers only the first request of a connection, and never finishes draining. */
+/** Guards against a server that answers only one request of a connection, never finishes draining, or listens on. */
 class HttpServerTest {
 
+    private static final long BUSY_NS = TimeUnit.MILLISECONDS.toNanos(300);
+
     @ParameterizedTest
     @EnumSource(HttpClient.Version.class)
     void answersSeveralRequestsOfOneConnection(HttpClient.Version version) throws Exception {
@@ -37,4 +44,22 @@
             eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
+
+    /** A caller that still gets a connection after the close cannot tell that its request was not read. */
+    @Test
+    void refusesConnectionsOnceItIsClosed() throws Exception {
+        NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+        HttpServer server = HttpServer.start(
+                eventLoops, HttpServerSettings.of("127.0.0.1", 0), exchange -> exchange.respondJson(200, "{}"));
+        int port = server.port();
+        try {
+            eventLoops.execute(() -> LockSupport.parkNanos(BUSY_NS));
+
+            server.close();
+
+            assertThatThrownBy(() -> new Socket("127.0.0.1", port).close()).isInstanceOf(ConnectException.class);
+        } finally {
+            eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
 }
