Give rank agents messages that fit groups of 63 ranks

Cause: at 63 ranks, 8 sets and 252 experts the counters of all ranks needed 15 Mbit/s of rank 0's link of 5.6 Mbit/s, a map told to each agent half a second of it, and a plan up to 1.8 s of processor time.

Change: ranks tell scaled samples of recent choices instead of whole counters, at a rate that fits the link; a large map goes through agents that pass it on; states without the expert lists, and only when they change; the planner looks at the ranks that a change touches. Reports are fast only while a map changes. Decisions on arrived states are made once for all that arrived together. Watches pause 150 ms after a change.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
@@ -23,6 +23,12 @@
     /** A slow store answers in some hundred milliseconds. */
     private static final long LIST_TIMEOUT_MS = 1_000;
 
+    /**
+     * Pause after a change, so that changes in quick succession take one call; each call is charged. It is short beside
+     * the seconds within which a change must be in force.
+     */
+    private static final long BATCH_MS = 150;
+
     /** Pause after a failure; calls count against a rate that all processes share. */
     private static final long RETRY_PAUSE_MS = 250;
 
@@ -163,7 +169,11 @@
         }
         answered();
         listener.onChanges(changes.changes(), askedSteadyMs, askedWallMs);
-        watch(changes.revision());
+        if (changes.changes().isEmpty()) {
+            watch(changes.revision());
+        } else {
+            eventLoop.schedule(() -> watch(changes.revision()), BATCH_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void answered() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -8,6 +8,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.lockstep.ChoiceSample;
+import org.kingcuproad.policy.lockstep.EngineOrder;
 import org.kingcuproad.policy.lockstep.ExpertLists;
 import org.kingcuproad.policy.lockstep.ExpertLoads;
 import org.kingcuproad.policy.lockstep.GroupShape;
@@ -55,7 +58,7 @@
     /** Recent choices below which the loads say little; a request of usual size makes some ten thousand. */
     private static final double LEAST_CHOICES = 500_000;
 
-    /** A rank's agent tells its state several times in this time. */
+    /** During a change a rank's agent tells its state several times in this time. */
     private static final long SILENT_MS = 150;
 
     /** Silence of rank 0 after which rank 1 ends its hold; longer than a single lost or late message. */
@@ -68,15 +71,17 @@
     private final PassSwitch passSwitch;
     private final ExpertLoads longLoads = new ExpertLoads(LONG_HALF_LIFE_MS);
     private final ExpertLoads shortLoads = new ExpertLoads(SHORT_HALF_LIFE_MS);
-    private final SortedMap<Integer, Held> held = new TreeMap<>();
+    private final SortedMap<Integer, HeldExperts> held = new TreeMap<>();
+    private @Nullable ExpertLists assembled;
+    private long assembledEpoch;
+    private long assembledVersion;
     private final Map<Integer, Double> paces = new HashMap<>();
     private final Map<Integer, Long> heardMs = new HashMap<>();
     private final PassPace pace = new PassPace(CALM_PASS_MS, TIGHT_PASS_MS, LEAST_PRESSURE);
     private long plannedMs = Long.MIN_VALUE / 2;
+    private long changeSinceMs;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
 
-    private record Held(long epoch, long mapVersion, int[][] bySet) {}
-
     MapCoordinator(int ranks, int ownRank, GroupShape shape, DecisionLog log) {
         this.ranks = ranks;
         this.ownRank = ownRank;
@@ -89,14 +94,27 @@
         return passSwitch.phase() != PassSwitch.Phase.IDLE;
     }
 
-    void onState(RankState state, double rankPace, long heldMapVersion, int[][] experts) {
+    void onState(RankState state, double rankPace) {
         paces.put(state.rank(), Math.max(1.0, rankPace));
         passSwitch.onState(state);
         heardMs.put(state.rank(), state.reportedMs());
         if (state.rank() == 0) {
             pace.onStep(state.step(), state.reportedMs());
         }
-        held.put(state.rank(), new Held(state.epoch(), heldMapVersion, experts));
+    }
+
+    /** Takes what a rank holds with the map in use. */
+    void onHeld(int rank, HeldExperts experts) {
+        held.put(rank, experts);
+        assembled = null;
+    }
+
+    /** Tells whether a rank still has to do something to be in the wanted state. */
+    boolean pending(int rank, RankWish wish) {
+        return passSwitch
+                .state(rank)
+                .map(state -> EngineOrder.towards(state, wish).isPresent())
+                .orElse(true);
     }
 
     /** Takes a state that was read at the engine of a silent rank. */
@@ -126,14 +144,15 @@
             return List.of();
         }
         return IntStream.range(0, ranks)
-                .filter(rank -> rank != ownRank && nowMs - heardMs.getOrDefault(rank, 0L) > SILENT_MS)
+                .filter(rank ->
+                        rank != ownRank && nowMs - Math.max(changeSinceMs, heardMs.getOrDefault(rank, 0L)) > SILENT_MS)
                 .boxed()
                 .toList();
     }
 
-    void onCounters(int rank, int offset, long[] values, int total, long nowMs) {
-        longLoads.onCounters(rank, offset, values, total, nowMs);
-        shortLoads.onCounters(rank, offset, values, total, nowMs);
+    void onChoices(ChoiceSample sample, long nowMs) {
+        longLoads.onSample(sample, nowMs);
+        shortLoads.onSample(sample, nowMs);
     }
 
     void onHold(long step, boolean accepted, long nowMs) {
@@ -157,6 +176,9 @@
         List<SwitchAction> actions =
                 passSwitch.next(current, ThreadLocalRandom.current().nextInt(), nowMs);
         if (passSwitch.phase() != loggedPhase) {
+            if (loggedPhase == PassSwitch.Phase.IDLE) {
+                changeSinceMs = nowMs;
+            }
             loggedPhase = passSwitch.phase();
             log.event("map change phase")
                     .field("phase", loggedPhase.name())
@@ -168,11 +190,16 @@
     }
 
     private Optional<ExpertLists> current(RankState own) {
-        List<int[][]> known = held.values().stream()
-                .filter(rank -> rank.epoch == own.epoch() && rank.mapVersion == own.mapVersion())
-                .map(Held::bySet)
-                .toList();
-        return known.size() == ranks ? Optional.of(ExpertLists.ofRanks(known)) : Optional.empty();
+        if (assembled == null || assembledEpoch != own.epoch() || assembledVersion != own.mapVersion()) {
+            List<int[][]> known = held.values().stream()
+                    .filter(rank -> rank.matches(own.epoch(), own.mapVersion()))
+                    .map(HeldExperts::bySet)
+                    .toList();
+            assembled = known.size() == ranks ? ExpertLists.ofRanks(known) : null;
+            assembledEpoch = own.epoch();
+            assembledVersion = own.mapVersion();
+        }
+        return Optional.ofNullable(assembled);
     }
 
     private void plan(ExpertLists current, long nowMs) {
@@ -186,6 +213,10 @@
         ExpertLoads loads = shifted ? shortLoads : longLoads;
         double before = shifted ? heaviestByShort : heaviestByLong;
         double pressure = pace.pressure();
+        // No map is better than one with the mean load on every rank.
+        if (before - shape.sets() < LEAST_GAIN / pressure) {
+            return;
+        }
         ExpertLists planned = current;
         for (int set = 0; set < shape.sets(); set++) {
             planned = planned.withSet(
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -16,8 +16,10 @@
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.gateway.Clock;
@@ -25,6 +27,8 @@
 import org.kingcuproad.gateway.StoreDialect;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.lockstep.ChoiceSample;
+import org.kingcuproad.policy.lockstep.ChoiceSampler;
 import org.kingcuproad.policy.lockstep.EngineOrder;
 import org.kingcuproad.policy.lockstep.PassSwitch;
 import org.kingcuproad.policy.lockstep.RankState;
@@ -40,26 +44,39 @@
  */
 public final class RankAgent {
 
-    /** Reports are free on the engine's own VM; a change is noticed within this time. */
-    private static final long REPORT_MS = 100;
+    /** Rank 1 takes a longer silence of rank 0 for a fault, so both tell their states several times in that time. */
+    private static final long DECIDING_REPORT_MS = 100;
+
+    /** Other ranks report less often while nothing changes; each report takes processor time of a small VM. */
+    private static final long IDLE_REPORT_MS = 200;
 
     /** While a map is changed the group may stand still, so states are read more often. */
     private static final long ACTIVE_REPORT_MS = 20;
 
-    /** A wish holds a whole map, and the link of an engine's VM is narrow; a lost datagram is replaced this soon. */
-    private static final long WISH_REPEAT_MS = 60;
+    /** Least time between two messages of an unchanged state during a change; rank 0 takes silence for a fault. */
+    private static final long ACTIVE_TELL_MS = 60;
+
+    /** Held experts change with the map only; a lost datagram is replaced this soon. */
+    private static final long TELL_HELD_MS = 500;
+
+    /** A shift of popularity shows in two or three samples, well within its length of some seconds. */
+    private static final long SAMPLE_MS = 200;
+
+    /** Part of the link of rank 0 that samples of all ranks may take; states and wishes need the rest. */
+    private static final double SAMPLES_LINK_SHARE = 0.25;
+
+    /** Bytes of a sample's datagram beside its numbers: headers of IP and UDP, name of the group. */
+    private static final int SAMPLE_OVERHEAD_BYTES = 64;
+
+    private static final double BITS_A_MS_PER_MBPS = 1_000;
 
-    /** A shift of popularity shows in two or three readings, well within its length of some seconds. */
-    private static final long COUNTERS_MS = 200;
-    /** A restarted agent is known again after this time; the datagrams are some bytes. */
-    private static final long HELLO_MS = 1_000;
+    /** A restarted agent of rank 0 or 1 is known again after this time; the datagrams are some bytes. */
+    private static final long HELLO_MS = 500;
     /** The engine on the same VM answers in milliseconds, but a busy processor may take a tenth of a second. */
     private static final long CALL_TIMEOUT_MS = 300;
 
-    /** A wish with the map of 63 ranks, 8 sets and 5 places needs about 6 KB. */
+    /** A wish with the map of 63 ranks, 8 sets and 5 places needs about 3 KB. */
     private static final int MAX_DATAGRAM_BYTES = 16 << 10;
-    /** Counters of up to five bytes that fit into one packet on the usual links. */
-    private static final int COUNTERS_A_DATAGRAM = 288;
 
     /** Rank 0 decides, rank 1 ends a hold that rank 0 left behind. */
     private static final int DECIDING_RANKS = 2;
@@ -85,17 +102,22 @@
     private @Nullable String group;
     private @Nullable MapCoordinator coordinator;
     private int ranks;
-    private long expertsEpoch = -1;
-    private long expertsVersion = -1;
-    private int[][] experts = new int[0][];
+    private @Nullable HeldExperts held;
+    private long heldToldMs = Long.MIN_VALUE / 2;
+    private @Nullable RankState toldState;
+    private long stateToldMs = Long.MIN_VALUE / 2;
+    private ChoiceSampler sampler = new ChoiceSampler();
+    private final WishSpreader spreader = new WishSpreader(this::send);
     private @Nullable RankWish wish;
     private long wishEpoch;
     private boolean holdersTurnTold;
-    private long wishToldMs = Long.MIN_VALUE / 2;
-    private long reportedMs = Long.MIN_VALUE / 2;
+    private long sampledMs = Long.MIN_VALUE / 2;
+    private @Nullable Future<?> nextReport;
+    private boolean reportsFast;
     private double pace = 1;
     private boolean reporting;
     private boolean counting;
+    private boolean coordinating;
 
     /**
      * Creates an agent that does nothing yet.
@@ -139,8 +161,8 @@
                     .handler(new Receiver())
                     .bind(settings.agentAddress())
                     .channel();
-            every(ACTIVE_REPORT_MS, this::reportIfDue);
-            every(COUNTERS_MS, this::readCounters);
+            scheduleReport();
+            every(SAMPLE_MS, this::sampleIfDue);
             every(HELLO_MS, this::sayHello);
             directory.start();
             log.event("rank agent started").field("name", settings.name()).write();
@@ -163,11 +185,38 @@
         eventLoop.scheduleWithFixedDelay(step, 0, periodMs, TimeUnit.MILLISECONDS);
     }
 
-    private void reportIfDue() {
+    private boolean active() {
         MapCoordinator running = coordinator;
-        boolean active = wish != null || (running != null && running.active());
-        if (clock.steadyMs() - reportedMs >= (active ? ACTIVE_REPORT_MS : REPORT_MS)) {
-            report();
+        return wish != null || (running != null && running.active());
+    }
+
+    /** Schedules the next report anew, soon if a change is going on. */
+    private void scheduleReport() {
+        Future<?> scheduled = nextReport;
+        if (scheduled != null) {
+            scheduled.cancel(false);
+        }
+        nextReport = eventLoop.schedule(
+                () -> {
+                    report();
+                    scheduleReport();
+                },
+                reportIntervalMs(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private long reportIntervalMs() {
+        RankState current = state;
+        if (reportsFast) {
+            return ACTIVE_REPORT_MS;
+        }
+        return current != null && current.rank() < DECIDING_RANKS ? DECIDING_REPORT_MS : IDLE_REPORT_MS;
+    }
+
+    private void adjustReports() {
+        if (active() != reportsFast) {
+            reportsFast = active();
+            scheduleReport();
         }
     }
 
@@ -176,7 +225,6 @@
             return;
         }
         reporting = true;
-        reportedMs = clock.steadyMs();
         reports.call(HttpMethod.GET, dialect.reportTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             reporting = false;
             replies.read(reply, "report", dialect::readReport).ifPresent(this::onReport);
@@ -202,16 +250,20 @@
             ranks = place.ranks();
             group = place.group();
             coordinator = null;
+            held = null;
+            sampler = new ChoiceSampler();
         }
         RankState current = report.state(clock.steadyMs()).orElseThrow();
         state = current;
         pace = report.pace();
         paceNotice.send(pace, clock.steadyMs());
-        if (expertsEpoch != current.epoch() || expertsVersion != current.mapVersion()) {
+        HeldExperts experts = held;
+        if (experts == null || !experts.matches(current.epoch(), current.mapVersion())) {
             readExperts(current.epoch());
         }
         tell(current);
         followWish();
+        adjustReports();
     }
 
     private void readExperts(long epoch) {
@@ -221,33 +273,55 @@
         counting = true;
         counters.call(HttpMethod.GET, dialect.expertsTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             counting = false;
-            replies.read(reply, "experts", dialect::readExperts).ifPresent(held -> {
-                experts = held.bySet();
-                expertsVersion = held.mapVersion();
-                expertsEpoch = epoch;
+            replies.read(reply, "experts", dialect::readExperts).ifPresent(told -> {
+                Arrays.stream(told.bySet()).forEach(Arrays::sort);
+                held = new HeldExperts(epoch, told.mapVersion(), told.bySet());
+                heldToldMs = Long.MIN_VALUE / 2;
             });
         });
     }
 
     private void tell(RankState current) {
         String name = group;
-        if (name == null || expertsEpoch != current.epoch()) {
+        if (name == null) {
             return;
         }
-        for (int rank = 0; rank < DECIDING_RANKS; rank++) {
-            InetSocketAddress address = agents.get(rank);
-            if (rank != current.rank() && address != null) {
-                send(new RankMessage.State(name, current, pace, expertsVersion, experts), address);
-            }
+        long nowMs = clock.steadyMs();
+        RankState told = toldState;
+        if (told == null || !told.sameSituation(current) || nowMs - stateToldMs >= ACTIVE_TELL_MS) {
+            toldState = current;
+            stateToldMs = nowMs;
+            tellDeciding(new RankMessage.State(name, current, pace));
         }
         MapCoordinator running = coordinator();
+        HeldExperts experts = held;
+        if (experts != null
+                && experts.matches(current.epoch(), current.mapVersion())
+                && nowMs - heldToldMs >= TELL_HELD_MS) {
+            heldToldMs = nowMs;
+            tellDeciding(new RankMessage.Held(name, current.rank(), experts));
+            if (running != null) {
+                running.onHeld(current.rank(), experts);
+            }
+        }
         if (running != null) {
-            running.onState(current, pace, expertsVersion, experts);
-            running.rescueIfAbandoned(clock.steadyMs());
+            running.onState(current, pace);
+            running.rescueIfAbandoned(nowMs);
             coordinate(running);
         }
     }
 
+    /** Sends a message to the agents that decide on changes, except this one. */
+    private void tellDeciding(RankMessage message) {
+        RankState own = state;
+        for (int rank = 0; rank < DECIDING_RANKS; rank++) {
+            InetSocketAddress address = agents.get(rank);
+            if (address != null && own != null && rank != own.rank()) {
+                send(message, address);
+            }
+        }
+    }
+
     private @Nullable MapCoordinator coordinator() {
         RankState current = state;
         if (coordinator == null && current != null && current.rank() < DECIDING_RANKS && ranks > 1) {
@@ -259,6 +333,20 @@
         return coordinator;
     }
 
+    /** Decides once for all states that have arrived together; there are some thousand a second in a large group. */
+    private void coordinateSoon() {
+        if (!coordinating) {
+            coordinating = true;
+            eventLoop.execute(() -> {
+                coordinating = false;
+                MapCoordinator running = coordinator;
+                if (running != null) {
+                    coordinate(running);
+                }
+            });
+        }
+    }
+
     private void coordinate(MapCoordinator running) {
         RankState own = state;
         String name = group;
@@ -285,6 +373,7 @@
         if (!running.active() && own.rank() == 0) {
             wish = null;
         }
+        adjustReports();
         running.silentRanks(clock.steadyMs()).forEach(rank -> actFor(rank, running));
     }
 
@@ -319,17 +408,18 @@
 
     private void tellWish(MapCoordinator running, String name, long epoch, RankWish wanted) {
         long nowMs = clock.steadyMs();
-        boolean repeated = wish != null && wish.sameAs(wanted);
         boolean holdersTurn = running.mayFollow(wanted, PassSwitch.HOLDER, nowMs);
         boolean newTurn = holdersTurn && !holdersTurnTold;
         holdersTurnTold = holdersTurn;
-        if (!repeated || newTurn || nowMs - wishToldMs >= WISH_REPEAT_MS) {
-            wishToldMs = nowMs;
-            RankMessage message = new RankMessage.Wanted(name, epoch, wanted);
-            InetSocketAddress holder = agents.get(PassSwitch.HOLDER);
-            directory.peers().stream()
-                    .filter(peer -> holdersTurn || !peer.equals(holder))
-                    .forEach(peer -> send(message, peer));
+        if (newTurn || spreader.due(wanted, nowMs)) {
+            int ownRank = Optional.ofNullable(state).map(RankState::rank).orElse(0);
+            List<InetSocketAddress> receivers = agents.entrySet().stream()
+                    .filter(agent -> agent.getKey() != ownRank)
+                    .filter(agent -> holdersTurn || agent.getKey() != PassSwitch.HOLDER)
+                    .filter(agent -> running.pending(agent.getKey(), wanted))
+                    .map(Map.Entry::getValue)
+                    .toList();
+            spreader.spread(new RankMessage.Wanted(name, epoch, wanted, List.of()), receivers, nowMs);
         }
         onWish(epoch, wanted);
     }
@@ -338,6 +428,7 @@
         wish = wanted;
         wishEpoch = epoch;
         followWish();
+        adjustReports();
     }
 
     private void followWish() {
@@ -363,39 +454,46 @@
         orders.follow(current, wanted, this::report);
     }
 
-    private void readCounters() {
+    private void sampleIfDue() {
         RankState current = state;
         String name = group;
-        if (counting || current == null || name == null) {
+        if (counting || current == null || name == null || clock.steadyMs() - sampledMs < sampleIntervalMs()) {
             return;
         }
         counting = true;
+        sampledMs = clock.steadyMs();
         counters.call(HttpMethod.GET, dialect.countersTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             counting = false;
             replies.read(reply, "counters", dialect::readCounters)
-                    .ifPresent(values -> onCounters(name, current.rank(), values));
+                    .flatMap(sampler::sample)
+                    .ifPresent(sample -> onSample(name, current.rank(), sample));
         });
     }
 
-    private void onCounters(String name, int rank, long[] values) {
+    /** Returns how often to sample, so that the samples of all ranks fit into the link of rank 0. */
+    private long sampleIntervalMs() {
+        int counterCount =
+                directory.shape().map(shape -> shape.sets() * shape.experts()).orElse(0);
+        int bytes = ChoiceSample.packedBytes(counterCount, ChoiceSampler.bits(counterCount)) + SAMPLE_OVERHEAD_BYTES;
+        double bitsOfAll = (double) bytes * Byte.SIZE * ranks;
+        double linkMs = bitsOfAll / (SAMPLES_LINK_SHARE * settings.linkMbps() * BITS_A_MS_PER_MBPS);
+        return Math.max(SAMPLE_MS, Math.round(linkMs));
+    }
+
+    private void onSample(String name, int rank, ChoiceSample sample) {
         MapCoordinator running = coordinator;
-        if (rank == 0) {
-            if (running != null) {
-                running.onCounters(0, 0, values, values.length, clock.steadyMs());
-            }
-            return;
-        }
         InetSocketAddress address = agents.get(0);
-        for (int offset = 0; address != null && offset < values.length; offset += COUNTERS_A_DATAGRAM) {
-            long[] part = Arrays.copyOfRange(values, offset, Math.min(values.length, offset + COUNTERS_A_DATAGRAM));
-            send(new RankMessage.Counters(name, rank, values.length, offset, part), address);
+        if (rank == 0 && running != null) {
+            running.onChoices(sample, clock.steadyMs());
+        } else if (rank != 0 && address != null) {
+            send(new RankMessage.Choices(name, sample), address);
         }
     }
 
     private void sayHello() {
         RankState current = state;
         String name = group;
-        if (current != null && name != null) {
+        if (current != null && name != null && current.rank() < DECIDING_RANKS) {
             RankMessage hello = new RankMessage.Hello(name, current.rank(), current.epoch());
             directory.peers().forEach(peer -> send(hello, peer));
         }
@@ -427,20 +525,28 @@
                 }
             }
             case RankMessage.State told -> {
+                if (told.state().epoch() == current.epoch()) {
+                    agents.put(told.state().rank(), sender);
+                }
                 if (running != null) {
-                    RankState stamped = told.state().withReportedMs(clock.steadyMs());
-                    running.onState(stamped, told.pace(), told.heldMapVersion(), told.experts());
+                    running.onState(told.state().withReportedMs(clock.steadyMs()), told.pace());
                     if (running.active()) {
-                        coordinate(running);
+                        coordinateSoon();
                     }
                 }
             }
-            case RankMessage.Counters told -> {
+            case RankMessage.Held told -> {
+                if (running != null) {
+                    running.onHeld(told.rank(), told.experts());
+                }
+            }
+            case RankMessage.Choices told -> {
                 if (running != null) {
-                    running.onCounters(told.rank(), told.offset(), told.values(), told.total(), clock.steadyMs());
+                    running.onChoices(told.sample(), clock.steadyMs());
                 }
             }
             case RankMessage.Wanted wanted -> {
+                wanted.passOnTo().forEach(other -> send(wanted.withPassOnTo(List.of()), other));
                 if (running == null || !running.active()) {
                     onWish(wanted.epoch(), wanted.wish());
                 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgentSettings.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgentSettings.java
@@ -10,10 +10,12 @@
  * @param engineAddress address of the engine on the same VM
  * @param agentAddress where datagrams of other agents arrive; the port is the same on all VMs
  * @param storeAddress address of the object store
+ * @param linkMbps bandwidth of the VM's link, in megabits a second
  */
 public record RankAgentSettings(
         String name,
         String service,
         InetSocketAddress engineAddress,
         InetSocketAddress agentAddress,
-        InetSocketAddress storeAddress) {}
+        InetSocketAddress storeAddress,
+        double linkMbps) {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
@@ -1,8 +1,14 @@
 package org.kingcuproad.gateway.rank;
 
 import io.netty.buffer.ByteBuf;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import org.kingcuproad.policy.lockstep.ChoiceSample;
 import org.kingcuproad.policy.lockstep.ExpertLists;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.policy.lockstep.RankWish;
@@ -10,23 +16,39 @@
 /** A datagram between agents of one group. */
 sealed interface RankMessage {
 
+    /** Bytes of an IPv4 address. */
+    int ADDRESS_BYTES = 4;
+
     /** Name of the sender's group. */
     String group();
 
     /** Announces a rank and its address. */
     record Hello(String group, int rank, long epoch) implements RankMessage {}
 
-    /** State of a rank and the experts that it holds by set, for the coordinator. */
-    @SuppressWarnings("ArrayRecordComponent")
-    record State(String group, RankState state, double pace, long heldMapVersion, int[][] experts)
-            implements RankMessage {}
+    /** State of a rank, for the coordinator; it also announces the sender's address. */
+    record State(String group, RankState state, double pace) implements RankMessage {}
+
+    /** Experts that a rank holds by set with the map in use, for the coordinator. */
+    record Held(String group, int rank, HeldExperts experts) implements RankMessage {}
 
-    /** Counters of chosen experts, a part of them in each datagram, for the coordinator. */
-    @SuppressWarnings("ArrayRecordComponent")
-    record Counters(String group, int rank, int total, int offset, long[] values) implements RankMessage {}
+    /** What the requests of a rank chose recently, for the coordinator. */
+    record Choices(String group, ChoiceSample sample) implements RankMessage {}
 
-    /** State that the coordinator wants the rank to be in. */
-    record Wanted(String group, long epoch, RankWish wish) implements RankMessage {}
+    /**
+     * State that the coordinator wants ranks to be in.
+     *
+     * @param passOnTo agents that the receiver passes the message on to
+     */
+    record Wanted(String group, long epoch, RankWish wish, List<InetSocketAddress> passOnTo) implements RankMessage {
+
+        public Wanted {
+            passOnTo = List.copyOf(passOnTo);
+        }
+
+        Wanted withPassOnTo(List<InetSocketAddress> others) {
+            return new Wanted(group, epoch, wish, others);
+        }
+    }
 
     /** Writes a message. */
     static void write(ByteBuf out, RankMessage message) {
@@ -39,21 +61,27 @@
                 begin(out, 2, state.group);
                 writeState(out, state.state);
                 out.writeDouble(state.pace);
-                out.writeLong(state.heldMapVersion);
-                writeLists(out, state.experts);
             }
-            case Counters counters -> {
-                begin(out, 3, counters.group);
-                out.writeShort(counters.rank).writeShort(counters.total).writeShort(counters.offset);
-                out.writeShort(counters.values.length);
-                for (long value : counters.values) {
-                    writeVarint(out, value);
-                }
+            case Held held -> {
+                begin(out, 3, held.group);
+                out.writeShort(held.rank).writeLong(held.experts.epoch()).writeLong(held.experts.mapVersion());
+                writeLists(out, held.experts.bySet());
+            }
+            case Choices choices -> {
+                begin(out, 4, choices.group);
+                ChoiceSample sample = choices.sample;
+                out.writeShort(sample.total()).writeByte(sample.scale()).writeByte(sample.bits());
+                out.writeBytes(sample.packed());
             }
             case Wanted wanted -> {
-                begin(out, 4, wanted.group);
+                begin(out, 5, wanted.group);
                 out.writeLong(wanted.epoch);
                 writeWish(out, wanted.wish);
+                out.writeByte(wanted.passOnTo.size());
+                wanted.passOnTo.forEach(address -> {
+                    out.writeBytes(address.getAddress().getAddress());
+                    out.writeShort(address.getPort());
+                });
             }
         }
     }
@@ -69,22 +97,40 @@
                 .toString();
         return switch (type) {
             case 1 -> Optional.of(new Hello(group, in.readUnsignedShort(), in.readLong()));
-            case 2 -> Optional.of(new State(group, readState(in), in.readDouble(), in.readLong(), readLists(in)));
-            case 3 -> {
-                int rank = in.readUnsignedShort();
-                int total = in.readUnsignedShort();
-                int offset = in.readUnsignedShort();
-                long[] values = new long[in.readUnsignedShort()];
-                for (int at = 0; at < values.length; at++) {
-                    values[at] = readVarint(in);
-                }
-                yield Optional.of(new Counters(group, rank, total, offset, values));
-            }
-            case 4 -> Optional.of(new Wanted(group, in.readLong(), readWish(in)));
+            case 2 -> Optional.of(new State(group, readState(in), in.readDouble()));
+            case 3 ->
+                Optional.of(new Held(
+                        group, in.readUnsignedShort(), new HeldExperts(in.readLong(), in.readLong(), readLists(in))));
+            case 4 -> Optional.of(new Choices(group, readSample(in)));
+            case 5 -> Optional.of(new Wanted(group, in.readLong(), readWish(in), readAddresses(in)));
             default -> Optional.empty();
         };
     }
 
+    private static ChoiceSample readSample(ByteBuf in) {
+        int total = in.readUnsignedShort();
+        int scale = in.readUnsignedByte();
+        int bits = in.readUnsignedByte();
+        byte[] packed = new byte[ChoiceSample.packedBytes(total, bits)];
+        in.readBytes(packed);
+        return new ChoiceSample(total, scale, bits, packed);
+    }
+
+    private static List<InetSocketAddress> readAddresses(ByteBuf in) {
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        int count = in.readUnsignedByte();
+        byte[] host = new byte[ADDRESS_BYTES];
+        for (int at = 0; at < count; at++) {
+            in.readBytes(host);
+            try {
+                addresses.add(new InetSocketAddress(InetAddress.getByAddress(host), in.readUnsignedShort()));
+            } catch (UnknownHostException impossible) {
+                throw new IllegalStateException(impossible);
+            }
+        }
+        return addresses;
+    }
+
     private static void begin(ByteBuf out, int type, String group) {
         byte[] bytes = group.getBytes(StandardCharsets.UTF_8);
         out.writeByte(type).writeByte(bytes.length).writeBytes(bytes);
@@ -153,12 +199,15 @@
         return ExpertLists.of(bySet);
     }
 
+    /** Lists ascend, so each number is written as the distance from the one before it, mostly in one byte. */
     private static void writeLists(ByteBuf out, int[][] lists) {
         out.writeShort(lists.length);
         for (int[] list : lists) {
             out.writeByte(list.length);
+            int before = 0;
             for (int expert : list) {
-                out.writeShort(expert);
+                writeVarint(out, expert - before);
+                before = expert;
             }
         }
     }
@@ -167,27 +216,29 @@
         int[][] lists = new int[in.readUnsignedShort()][];
         for (int at = 0; at < lists.length; at++) {
             lists[at] = new int[in.readUnsignedByte()];
+            int before = 0;
             for (int place = 0; place < lists[at].length; place++) {
-                lists[at][place] = in.readUnsignedShort();
+                before += readVarint(in);
+                lists[at][place] = before;
             }
         }
         return lists;
     }
 
-    private static void writeVarint(ByteBuf out, long value) {
-        long rest = value;
+    private static void writeVarint(ByteBuf out, int value) {
+        int rest = value;
         while (rest >= 0x80) {
-            out.writeByte((int) (rest & 0x7f) | 0x80);
+            out.writeByte((rest & 0x7f) | 0x80);
             rest >>>= 7;
         }
-        out.writeByte((int) rest);
+        out.writeByte(rest);
     }
 
-    private static long readVarint(ByteBuf in) {
-        long value = 0;
-        for (int shift = 0; shift < Long.SIZE; shift += 7) {
+    private static int readVarint(ByteBuf in) {
+        int value = 0;
+        for (int shift = 0; shift < Integer.SIZE; shift += 7) {
             int next = in.readUnsignedByte();
-            value |= (long) (next & 0x7f) << shift;
+            value |= (next & 0x7f) << shift;
             if (next < 0x80) {
                 break;
             }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
@@ -23,6 +23,12 @@
      */
     private static final long TIMEOUT_MS = 25;
 
+    /**
+     * A hold goes to another VM, whose link may be busy. Taking it for lost while it is in force would stop the group,
+     * and the pass to hold is some passes ahead.
+     */
+    private static final long HOLD_TIMEOUT_MS = 100;
+
     /** An order with a whole map takes longer to read, and nothing waits for it. */
     private static final long PREPARE_TIMEOUT_MS = 100;
 
@@ -79,7 +85,7 @@
             return;
         }
         busy = true;
-        long timeoutMs = order instanceof EngineOrder.Prepare ? PREPARE_TIMEOUT_MS : TIMEOUT_MS;
+        long timeoutMs = timeoutMs(order);
         connection.call(HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), timeoutMs, reply -> {
             busy = false;
             String outcome = switch (reply) {
@@ -99,6 +105,16 @@
         });
     }
 
+    private static long timeoutMs(EngineOrder order) {
+        return switch (order) {
+            case EngineOrder.Prepare prepare -> PREPARE_TIMEOUT_MS;
+            case EngineOrder.Hold hold -> HOLD_TIMEOUT_MS;
+            case EngineOrder.Arm arm -> TIMEOUT_MS;
+            case EngineOrder.Disarm disarm -> TIMEOUT_MS;
+            case EngineOrder.Release release -> TIMEOUT_MS;
+        };
+    }
+
     private static long version(EngineOrder order) {
         return switch (order) {
             case EngineOrder.Prepare prepare -> prepare.version();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ExpertLoads.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ExpertLoads.java
@@ -1,18 +1,15 @@
 package org.kingcuproad.policy.lockstep;
 
 import java.util.Arrays;
-import java.util.HashMap;
-import java.util.Map;
 
 /**
- * How often experts were chosen recently, from counters that ranks keep since their start.
+ * How often experts were chosen recently, from samples of all ranks.
  *
  * <p>Older choices count less, since popularity shifts every few seconds on the worst days.
  */
 public final class ExpertLoads {
 
     private final double halfLifeMs;
-    private final Map<Integer, long[]> counters = new HashMap<>();
     private double[] recent = new double[0];
     private long decayedMs;
 
@@ -26,32 +23,18 @@
     }
 
     /**
-     * Takes counters of a rank.
+     * Takes what the requests of one rank chose since its last sample.
      *
-     * @param rank the rank
-     * @param offset position of the first counter among all of the rank's
-     * @param values the counters
-     * @param total number of counters of a rank
+     * @param sample the choices
      * @param nowMs current time, in milliseconds
      */
-    public void onCounters(int rank, int offset, long[] values, int total, long nowMs) {
-        if (recent.length != total) {
-            recent = new double[total];
-            counters.clear();
+    public void onSample(ChoiceSample sample, long nowMs) {
+        if (recent.length != sample.total()) {
+            recent = new double[sample.total()];
         }
         decay(nowMs);
-        long[] known = counters.computeIfAbsent(rank, unused -> {
-            long[] unknown = new long[total];
-            Arrays.fill(unknown, -1);
-            return unknown;
-        });
-        for (int at = 0; at < values.length && offset + at < total; at++) {
-            long before = known[offset + at];
-            // A lower value means that the rank started again; its first value can't be dated.
-            if (before >= 0 && values[at] > before) {
-                recent[offset + at] += values[at] - before;
-            }
-            known[offset + at] = values[at];
+        for (int at = 0; at < recent.length; at++) {
+            recent[at] += sample.choices(at);
         }
     }
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/PassSwitch.java
@@ -34,7 +34,7 @@
     private static final long ARM_LIMIT_MS = 500;
 
     /** A hold order without an answer in this time is treated as lost, and its late effect is undone. */
-    private static final long HOLD_LIMIT_MS = 60;
+    private static final long HOLD_LIMIT_MS = 110;
 
     /**
      * Passes between the last one begun and the one that is held. All ranks can be armed in that time even if some
@@ -118,6 +118,16 @@
         }
     }
 
+    /**
+     * Returns the last state of a rank.
+     *
+     * @param rank the rank
+     * @return its state, or empty if it has told none
+     */
+    public Optional<RankState> state(int rank) {
+        return Optional.ofNullable(states.get(rank));
+    }
+
     /**
      * Returns the phase.
      *
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/RankState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/RankState.java
@@ -27,6 +27,22 @@
     /** Nothing is prepared, armed or held. */
     public static final long NONE = -1;
 
+    /**
+     * Tells whether another state of the rank differs in no more than the number of passes and the time.
+     *
+     * @param other the other state
+     * @return {@code true} if nothing is decided differently
+     */
+    public boolean sameSituation(RankState other) {
+        return rank == other.rank
+                && epoch == other.epoch
+                && open == other.open
+                && mapVersion == other.mapVersion
+                && preparedVersion == other.preparedVersion
+                && armedVersion == other.armedVersion
+                && heldStep == other.heldStep;
+    }
+
     /**
      * Returns a copy with another time of the report.
      *
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ReplicaPlanner.java
@@ -1,6 +1,8 @@
 package org.kingcuproad.policy.lockstep;
 
 import java.util.Arrays;
+import java.util.Comparator;
+import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,8 +17,14 @@
     /** Heaviest ranks that a change starts from. */
     private static final int TRIED_RANKS = 2;
 
-    /** Bound on the changes of one set, so that a plan takes some milliseconds. */
-    private static final int MOST_CHANGES = 40;
+    /** Lightest ranks that a change may go to; the others would soon be the heaviest. */
+    private static final int TRIED_TARGETS = 12;
+
+    /** Changes of one set for each rank: a replica on each rank and as many moves, with room to spare. */
+    private static final int MOST_CHANGES_A_RANK = 4;
+
+    /** Changes without a better plan after which the search ends, since each further one only adds copies. */
+    private static final int PATIENCE = 10;
 
     /** A change that improves the potential by a smaller share is rounding. */
     private static final double LEAST_GAIN = 1e-9;
@@ -27,10 +35,14 @@
     private final double[] paces;
     private final boolean[][] holds;
     private final boolean[][] held;
+    private final int[][] holders;
     private final int[] replicas;
     private final int[] used;
     private final int[] taken;
-    private double[] rankLoad;
+    private final double[] rankLoad;
+    private final double[] shifted;
+    private final int[] touched;
+    private int touchedCount;
 
     private ReplicaPlanner(GroupShape shape, int[][] byRank, double[] load, double[] paces) {
         this.paces = paces;
@@ -39,17 +51,19 @@
         this.load = load;
         this.holds = new boolean[ranks][shape.experts()];
         this.replicas = new int[shape.experts()];
+        this.holders = new int[shape.experts()][0];
         this.used = new int[ranks];
         this.taken = new int[ranks];
+        this.held = new boolean[ranks][shape.experts()];
         for (int rank = 0; rank < ranks; rank++) {
             for (int expert : byRank[rank]) {
-                holds[rank][expert] = true;
-                replicas[expert]++;
-                used[rank]++;
+                held[rank][expert] = true;
+                add(rank, expert);
             }
         }
-        this.held = Arrays.stream(holds).map(boolean[]::clone).toArray(boolean[][]::new);
         this.rankLoad = loads();
+        this.shifted = new double[ranks];
+        this.touched = new int[ranks];
     }
 
     /**
@@ -68,11 +82,15 @@
         int[][] best = byRank;
         double start = planner.heaviest();
         double bestValue = 0;
-        for (int change = 0; change < MOST_CHANGES && planner.improve(); change++) {
+        int sinceBest = 0;
+        int mostChanges = MOST_CHANGES_A_RANK * byRank.length;
+        for (int change = 0; change < mostChanges && sinceBest < PATIENCE && planner.improve(); change++) {
             double value = start - planner.heaviest() - leastGainPerCopy * planner.copies();
+            sinceBest++;
             if (value > bestValue) {
                 bestValue = value;
                 best = planner.lists();
+                sinceBest = 0;
             }
         }
         return best;
@@ -140,19 +158,25 @@
     }
 
     private boolean improve() {
-        int[] heaviest = heaviestRanks();
+        int[] byLoad = IntStream.range(0, ranks)
+                .boxed()
+                .sorted(Comparator.comparingDouble(rank -> -rankLoad[rank]))
+                .mapToInt(Integer::intValue)
+                .toArray();
+        int[] targets = Arrays.copyOfRange(byLoad, Math.max(0, ranks - TRIED_TARGETS), ranks);
         Change best = null;
-        double bestPotential = potential() * (1 - LEAST_GAIN);
-        for (int rank : heaviest) {
+        double bestGrowth = -potential() * LEAST_GAIN;
+        for (int from : Arrays.copyOf(byLoad, Math.min(TRIED_RANKS, ranks))) {
             for (int expert = 0; expert < shape.experts(); expert++) {
-                if (holds[rank][expert]) {
-                    for (int other = 0; other < ranks; other++) {
-                        if (other != rank && !holds[other][expert]) {
-                            Change found = bestChange(rank, expert, other, bestPotential);
-                            if (found != null) {
-                                best = found;
-                                bestPotential = found.potential;
-                            }
+                if (!holds[from][expert]) {
+                    continue;
+                }
+                for (int to : targets) {
+                    if (to != from && !holds[to][expert]) {
+                        Change found = bestChange(from, expert, to, bestGrowth);
+                        if (found != null) {
+                            best = found;
+                            bestGrowth = found.growth;
                         }
                     }
                 }
@@ -161,8 +185,11 @@
         if (best == null) {
             return false;
         }
+        shiftLoads(best);
+        for (int at = 0; at < touchedCount; at++) {
+            rankLoad[touched[at]] += shifted[at];
+        }
         apply(best);
-        rankLoad = loads();
         return true;
     }
 
@@ -179,9 +206,9 @@
     /**
      * An expert goes to another rank; another expert may leave that rank for it, or -1.
      *
-     * @param potential potential of the loads after the change
+     * @param growth by how much the potential of the loads grows
      */
-    private record Change(int from, int expert, int to, Way way, int evicted, double potential) {
+    private record Change(int from, int expert, int to, Way way, int evicted, double growth) {
 
         private boolean stays() {
             return way == Way.ADDED;
@@ -205,10 +232,10 @@
             }
             for (Way way : Way.values()) {
                 Change change = new Change(from, expert, to, way, evicted, 0);
-                double potential = legal(change) ? potentialAfter(change) : Double.MAX_VALUE;
-                if (potential < least) {
-                    least = potential;
-                    best = new Change(from, expert, to, way, evicted, potential);
+                double growth = legal(change) ? growth(change) : Double.MAX_VALUE;
+                if (growth < least) {
+                    least = growth;
+                    best = new Change(from, expert, to, way, evicted, growth);
                 }
             }
         }
@@ -224,34 +251,58 @@
                 && (held[change.from][change.evicted] || taken[change.from] < shape.spare());
     }
 
-    private double potentialAfter(Change change) {
-        apply(change);
-        double[] changed = loads(change);
-        undo(change);
-        return potential(changed);
+    /** Returns by how much a change would raise the potential; only the ranks that it touches are looked at. */
+    private double growth(Change change) {
+        shiftLoads(change);
+        double growth = 0;
+        for (int at = 0; at < touchedCount; at++) {
+            double before = rankLoad[touched[at]];
+            growth += eighthPower(before + shifted[at]) - eighthPower(before);
+        }
+        return growth;
     }
 
-    /** Computes the loads after a change that is already applied to the lists, from those before it. */
-    private double[] loads(Change change) {
-        double[] loads = rankLoad.clone();
-        shift(loads, change.expert, change.stays() ? replicas[change.expert] - 1 : replicas[change.expert], change);
+    /** Computes by how much a change shifts the load of each rank that it touches. */
+    private void shiftLoads(Change change) {
+        touchedCount = 0;
+        double share = load[change.expert] / replicas[change.expert];
+        if (change.stays()) {
+            double lowered = load[change.expert] / (replicas[change.expert] + 1);
+            shiftHolders(change.expert, lowered - share);
+            shift(change.to, lowered);
+        } else {
+            shift(change.from, -share);
+            shift(change.to, share);
+        }
         if (change.evicted >= 0) {
-            int before = change.exchanged() ? replicas[change.evicted] : replicas[change.evicted] + 1;
-            shift(loads, change.evicted, before, change);
+            double evictedShare = load[change.evicted] / replicas[change.evicted];
+            shift(change.to, -evictedShare);
+            if (change.exchanged()) {
+                shift(change.from, evictedShare);
+            } else {
+                double raised = load[change.evicted] / (replicas[change.evicted] - 1);
+                shiftHolders(change.evicted, raised - evictedShare);
+                shift(change.to, evictedShare - raised);
+            }
         }
-        return loads;
     }
 
-    private void shift(double[] loads, int expert, int replicasBefore, Change change) {
-        double before = load[expert] / replicasBefore;
-        double after = load[expert] / replicas[expert];
-        for (int rank = 0; rank < ranks; rank++) {
-            boolean heldBefore = holds[rank][expert];
-            if (rank == change.from || rank == change.to) {
-                heldBefore = expert == change.expert ? rank == change.from : rank == change.to;
-            }
-            loads[rank] += paces[rank] * ((holds[rank][expert] ? after : 0) - (heldBefore ? before : 0));
+    private void shiftHolders(int expert, double amount) {
+        for (int rank : holders[expert]) {
+            shift(rank, amount);
+        }
+    }
+
+    private void shift(int rank, double amount) {
+        int at = 0;
+        while (at < touchedCount && touched[at] != rank) {
+            at++;
         }
+        if (at == touchedCount) {
+            touched[touchedCount++] = rank;
+            shifted[at] = 0;
+        }
+        shifted[at] += paces[rank] * amount;
     }
 
     private void apply(Change change) {
@@ -267,21 +318,10 @@
         }
     }
 
-    private void undo(Change change) {
-        if (change.evicted >= 0) {
-            if (change.exchanged()) {
-                drop(change.from, change.evicted);
-            }
-            add(change.to, change.evicted);
-        }
-        if (!change.stays()) {
-            add(change.from, change.expert);
-        }
-        drop(change.to, change.expert);
-    }
-
     private void add(int rank, int expert) {
         holds[rank][expert] = true;
+        holders[expert] = IntStream.concat(Arrays.stream(holders[expert]), IntStream.of(rank))
+                .toArray();
         replicas[expert]++;
         used[rank]++;
         taken[rank] += held[rank][expert] ? 0 : 1;
@@ -289,42 +329,24 @@
 
     private void drop(int rank, int expert) {
         holds[rank][expert] = false;
+        holders[expert] =
+                Arrays.stream(holders[expert]).filter(other -> other != rank).toArray();
         replicas[expert]--;
         used[rank]--;
         taken[rank] -= held[rank][expert] ? 0 : 1;
     }
 
-    private int[] heaviestRanks() {
-        int[] heaviest = new int[Math.min(TRIED_RANKS, ranks)];
-        boolean[] chosen = new boolean[ranks];
-        for (int at = 0; at < heaviest.length; at++) {
-            int best = -1;
-            for (int rank = 0; rank < ranks; rank++) {
-                if (!chosen[rank] && (best < 0 || rankLoad[rank] > rankLoad[best])) {
-                    best = rank;
-                }
-            }
-            chosen[best] = true;
-            heaviest[at] = best;
-        }
-        return heaviest;
-    }
-
     private double potential() {
-        return potential(rankLoad);
+        return Arrays.stream(rankLoad).map(ReplicaPlanner::eighthPower).sum();
     }
 
     /**
      * The sum of high powers follows the heaviest rank, and still falls when one of several equally heavy ones gets
      * lighter.
      */
-    private static double potential(double[] loads) {
-        double sum = 0;
-        for (double value : loads) {
-            double square = value * value;
-            double fourth = square * square;
-            sum += fourth * fourth;
-        }
-        return sum;
+    private static double eighthPower(double value) {
+        double square = value * value;
+        double fourth = square * square;
+        return fourth * fourth;
     }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/ReplicaPlannerTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/ReplicaPlannerTest.java
@@ -86,6 +86,29 @@
         }
     }
 
+    /** A group of the grown deployments: one more replica on each rank, and at most two copies a change. */
+    @RepeatedTest(5)
+    void levelsALargeGroupWithinTwoChanges(RepetitionInfo repetition) {
+        int ranks = 63;
+        GroupShape shape = new GroupShape(8, 252, 5, 2);
+        double[] even = new double[ranks];
+        Arrays.fill(even, 1);
+        int[][] lists = IntStream.range(0, ranks)
+                .mapToObj(rank ->
+                        IntStream.range(0, 4).map(place -> place * ranks + rank).toArray())
+                .toArray(int[][]::new);
+        double[] counts = new Random(repetition.getCurrentRepetition())
+                .doubles(shape.experts())
+                .map(draw -> 1_000 / Math.pow(1 + draw * shape.experts(), 0.65))
+                .toArray();
+
+        for (int change = 0; change < 2; change++) {
+            lists = ReplicaPlanner.plan(shape, lists, counts, even, 0.002);
+        }
+
+        assertThat(ReplicaPlanner.heaviestLoad(shape, lists, counts, even)).isLessThan(1.15);
+    }
+
     @Test
     void copiesNothingForLevelLoad() {
         double[] counts = new double[SHAPE.experts()];
--- a/scripts/build-platform.sh
+++ b/scripts/build-platform.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 . scripts/select-jdk.sh
 out=target/platform
-mvn -B -q -ntp -DskipTests -pl platform -am package
+mvn -B -q -ntp -Dmaven.test.skip=true -pl platform -am package
 rm -rf "$out"
 mkdir -p "$out"
 cp platform/target/kingcuproad-adapter.jar "$out/kingcuproad.jar"
