--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -53,7 +53,7 @@
      * Longest wait for a change of the configuration. The proof that it is current is up to twice as old, and both
      * readiness and denials need one that is younger than some seconds.
      */
-    private static final long CONFIGURATION_WAIT_MS = 1_000;
+    private static final long CONFIGURATION_WAIT_MS = 1_500;
 
     /** Longest wait for a change of the upstreams; a silent connection is noticed half a second later. */
     private static final long UPSTREAMS_WAIT_MS = 1_500;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/KindFollower.java
@@ -27,7 +27,7 @@
      * Pause after a change, so that changes in quick succession take one call; each call is charged. It is short beside
      * the seconds within which a change must be in force.
      */
-    private static final long BATCH_MS = 150;
+    private static final long BATCH_MS = 250;
 
     /** Pause after a failure; calls count against a rate that all processes share. */
     private static final long RETRY_PAUSE_MS = 250;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.kingcuproad.runtime.log.DecisionLog;
 
@@ -77,7 +76,7 @@
         if (closed) {
             return;
         }
-        connection.call(HttpMethod.GET, dialect.listTarget(Optional.empty()), NO_BODY, TIMEOUT_MS, reply -> {
+        connection.call(HttpMethod.GET, dialect.relaxedListTarget(), NO_BODY, TIMEOUT_MS, reply -> {
             switch (reply) {
                 case HttpReply.Answer answer when answer.ok() -> onListing(answer.body());
                 case HttpReply.Answer answer -> again(this::list, "status " + answer.status(), RETRY_MS);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/GroupDirectory.java
@@ -54,9 +54,12 @@
         this.store = new SerialHttpConnection(eventLoop, settings.storeAddress());
     }
 
-    /** Reads the configuration until it tells the shape, then the register again and again. */
+    /**
+     * Reads the configuration until it tells the shape, then the register again and again. Both may be some seconds
+     * old, since a group's shape never changes; such calls cost a tenth.
+     */
     void start() {
-        store.call(HttpMethod.GET, configuration.listTarget(Optional.empty()), NO_BODY, TIMEOUT_MS, reply -> {
+        store.call(HttpMethod.GET, configuration.relaxedListTarget(), NO_BODY, TIMEOUT_MS, reply -> {
             shape = replies.read(reply, "configuration", configuration::readPage)
                     .flatMap(this::shapeIn)
                     .orElse(null);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -56,6 +56,12 @@
     /** Least time between two messages of an unchanged state during a change; rank 0 takes silence for a fault. */
     private static final long ACTIVE_TELL_MS = 60;
 
+    /**
+     * A change seldom takes longer. A rank that has done its part goes on telling its state, or rank 0 would act at its
+     * engine from afar, and maps sent to many engines fill the link.
+     */
+    private static final long CHANGE_MS = 2_000;
+
     /** Held experts change with the map only; a lost datagram is replaced this soon. */
     private static final long TELL_HELD_MS = 500;
 
@@ -78,6 +84,9 @@
     /** A wish with the map of 63 ranks, 8 sets and 5 places needs about 3 KB. */
     private static final int MAX_DATAGRAM_BYTES = 16 << 10;
 
+    /** Ranks at whose engines this agent acts at the same time; maps for more would fill its link. */
+    private static final int MOST_PROXIED = 4;
+
     /** Rank 0 decides, rank 1 ends a hold that rank 0 left behind. */
     private static final int DECIDING_RANKS = 2;
 
@@ -114,6 +123,7 @@
     private long sampledMs = Long.MIN_VALUE / 2;
     private @Nullable Future<?> nextReport;
     private boolean reportsFast;
+    private long wishedMs = Long.MIN_VALUE / 2;
     private double pace = 1;
     private boolean reporting;
     private boolean counting;
@@ -210,6 +220,9 @@
         if (reportsFast) {
             return ACTIVE_REPORT_MS;
         }
+        if (clock.steadyMs() - wishedMs < CHANGE_MS) {
+            return ACTIVE_TELL_MS;
+        }
         return current != null && current.rank() < DECIDING_RANKS ? DECIDING_REPORT_MS : IDLE_REPORT_MS;
     }
 
@@ -374,7 +387,7 @@
             wish = null;
         }
         adjustReports();
-        running.silentRanks(clock.steadyMs()).forEach(rank -> actFor(rank, running));
+        running.silentRanks(clock.steadyMs()).stream().limit(MOST_PROXIED).forEach(rank -> actFor(rank, running));
     }
 
     /** Returns who gives orders to the engine at which passes are held. */
@@ -427,6 +440,7 @@
     private void onWish(long epoch, RankWish wanted) {
         wish = wanted;
         wishEpoch = epoch;
+        wishedMs = clock.steadyMs();
         followWish();
         adjustReports();
     }
