Read settings again while running and serve metrics of rank agents

Cause: settings were read at start only, SIGHUP was logged and nothing else, and rank agents had no metrics address.

The bounds of a gateway (revocation, grace, retry budget) and the link of a rank agent take effect at once; names and addresses need a restart, which the log says. Unreadable settings change nothing.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -86,7 +86,7 @@
     /** Time kept between the last answer and the end of the grace period. */
     private static final long STOP_RESERVE_MS = 600;
 
-    private final GatewaySettings settings;
+    private GatewaySettings settings;
     private final GatewayDialect dialect;
     private final EventLoop eventLoop;
     private final Clock clock;
@@ -97,7 +97,7 @@
     private final PeerLoads peerLoads = new PeerLoads();
     private final PeerLink peerLink;
     private final PeerDirectory peerDirectory;
-    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final ProcessMetrics metrics = new ProcessMetrics();
     private final Map<String, ServicePlaces> services = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -144,6 +144,37 @@
         this.peerDirectory = new PeerDirectory(eventLoop, dialect.gateways(), settings, peerLoads, clock, log);
     }
 
+    /**
+     * Follows the settings while the gateway runs.
+     *
+     * @param source where settings come from
+     * @return the follower, which has been started
+     */
+    public SettingsFollower<GatewaySettings> followSettings(SettingsFollower.Source<GatewaySettings> source) {
+        SettingsFollower<GatewaySettings> follower =
+                new SettingsFollower<>(eventLoop, source, settings, this::apply, log);
+        follower.start();
+        return follower;
+    }
+
+    private void apply(GatewaySettings next) {
+        GatewaySettings applied = settings.withBoundsOf(next);
+        log.event("settings changed")
+                .field("revokeMs", applied.revokeMs())
+                .field("drainGraceMs", applied.drainGraceMs())
+                .field("retrySlack", Math.round(applied.retrySlack()))
+                .field("needsRestart", !applied.equals(next))
+                .write();
+        settings = applied;
+        knowledge.adjust(applied);
+        services.values().forEach(places -> places.adjustBudget(budgetLimits()));
+    }
+
+    private WindowedBudget.Limits budgetLimits() {
+        return new WindowedBudget.Limits(
+                settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack() / BUDGET_SHARERS);
+    }
+
     /** Starts to listen and to follow the store. */
     public void start() {
         eventLoop.execute(() -> {
@@ -307,9 +338,7 @@
                     .map(current -> current.services().get(name))
                     .map(ServiceProfile::engine)
                     .orElse(false);
-            WindowedBudget budget = new WindowedBudget(
-                    settings.retryRatio(), settings.retryWindowMs(), settings.retrySlack() / BUDGET_SHARERS);
-            return new ServicePlaces(this, engine, budget);
+            return new ServicePlaces(this, engine, new WindowedBudget(budgetLimits()));
         });
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewaySettings.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewaySettings.java
@@ -32,4 +32,29 @@
         long drainGraceMs,
         double retryRatio,
         long retryWindowMs,
-        double retrySlack) {}
+        double retrySlack) {
+
+    /**
+     * Returns a copy with the bounds of other settings. Name and addresses stay, since a running process can't change
+     * them.
+     *
+     * @param other settings with the bounds
+     * @return the copy
+     */
+    public GatewaySettings withBoundsOf(GatewaySettings other) {
+        return new GatewaySettings(
+                name,
+                dataCentre,
+                clientAddress,
+                readyAddress,
+                metricsAddress,
+                peerAddress,
+                storeAddress,
+                other.strictRevocation,
+                other.revokeMs,
+                other.drainGraceMs,
+                other.retryRatio,
+                other.retryWindowMs,
+                other.retrySlack);
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Knowledge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Knowledge.java
@@ -35,6 +35,10 @@
         this.freshness = new Freshness(settings.strictRevocation(), settings.revokeMs());
     }
 
+    void adjust(GatewaySettings settings) {
+        freshness.adjust(settings.strictRevocation(), settings.revokeMs());
+    }
+
     Optional<GatewayConfiguration> configuration() {
         return Optional.ofNullable(configuration);
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayMetrics.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ProcessMetrics.java
@@ -7,8 +7,8 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
-/** Counters and latency histograms of a gateway, as text of one {@code name value} pair a line. */
-final class GatewayMetrics {
+/** Counters and latency histograms of a process, as text of one {@code name value} pair a line. */
+public final class ProcessMetrics {
 
     /** Quantiles cover a few fetches of the metrics, which come every some seconds. */
     private static final long WINDOW_S = 30;
@@ -17,17 +17,36 @@
 
     private final MetricRegistry registry = new MetricRegistry();
 
-    void count(String name) {
+    /** Creates metrics without any counter. */
+    public ProcessMetrics() {}
+
+    /**
+     * Counts an event.
+     *
+     * @param name name of the counter
+     */
+    public void count(String name) {
         registry.counter(name).inc();
     }
 
-    void time(String name, long durationMs) {
+    /**
+     * Notes a duration.
+     *
+     * @param name name of the histogram
+     * @param durationMs the duration, in milliseconds
+     */
+    public void time(String name, long durationMs) {
         Histogram histogram = registry.histogram(
                 name, () -> new Histogram(new SlidingTimeWindowArrayReservoir(WINDOW_S, TimeUnit.SECONDS)));
         histogram.update(durationMs);
     }
 
-    String render() {
+    /**
+     * Writes all counters and quantiles.
+     *
+     * @return the text
+     */
+    public String render() {
         StringBuilder text = new StringBuilder();
         registry.getCounters()
                 .forEach((name, counter) ->
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -92,6 +92,10 @@
         pump();
     }
 
+    void adjustBudget(WindowedBudget.Limits limits) {
+        budget.adjust(limits);
+    }
+
     /** Takes a new request: sends it, lets it wait, or refuses it. */
     void submit(Exchange exchange) {
         long nowMs = nowMs();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
@@ -24,7 +24,7 @@
 import java.util.function.Supplier;
 
 /** Answers each request on one address with a status and a text. */
-final class StatusServer {
+public final class StatusServer {
 
     /** Questions have no body. */
     private static final int MAX_REQUEST_BYTES = 4_096;
@@ -37,10 +37,17 @@
      * @param ok whether the status is 200 instead of 503
      * @param text the body
      */
-    record Status(boolean ok, String text) {}
+    public record Status(boolean ok, String text) {}
 
-    /** Starts to listen. */
-    static Channel listen(EventLoopGroup eventLoops, InetSocketAddress address, Supplier<Status> status) {
+    /**
+     * Starts to listen.
+     *
+     * @param eventLoops runs everything
+     * @param address where to listen
+     * @param status asked for each answer
+     * @return the listening channel
+     */
+    public static Channel listen(EventLoopGroup eventLoops, InetSocketAddress address, Supplier<Status> status) {
         return new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SortedMap;
@@ -9,6 +10,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.IntStream;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.gateway.ProcessMetrics;
 import org.kingcuproad.policy.lockstep.ChoiceSample;
 import org.kingcuproad.policy.lockstep.EngineOrder;
 import org.kingcuproad.policy.lockstep.ExpertLists;
@@ -68,6 +70,7 @@
     private final int ownRank;
     private final GroupShape shape;
     private final DecisionLog log;
+    private final ProcessMetrics metrics;
     private final PassSwitch passSwitch;
     private final ExpertLoads longLoads = new ExpertLoads(LONG_HALF_LIFE_MS);
     private final ExpertLoads shortLoads = new ExpertLoads(SHORT_HALF_LIFE_MS);
@@ -82,11 +85,12 @@
     private long changeSinceMs;
     private PassSwitch.Phase loggedPhase = PassSwitch.Phase.IDLE;
 
-    MapCoordinator(int ranks, int ownRank, GroupShape shape, DecisionLog log) {
+    MapCoordinator(int ranks, int ownRank, GroupShape shape, DecisionLog log, ProcessMetrics metrics) {
         this.ranks = ranks;
         this.ownRank = ownRank;
         this.shape = shape;
         this.log = log;
+        this.metrics = metrics;
         this.passSwitch = new PassSwitch(ranks, ownRank);
     }
 
@@ -180,6 +184,10 @@
                 changeSinceMs = nowMs;
             }
             loggedPhase = passSwitch.phase();
+            metrics.count("map_change_" + loggedPhase.name().toLowerCase(Locale.ROOT));
+            if (loggedPhase == PassSwitch.Phase.IDLE) {
+                metrics.time("map_change_ms", nowMs - changeSinceMs);
+            }
             log.event("map change phase")
                     .field("phase", loggedPhase.name())
                     .field("step", own.step())
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -23,7 +23,10 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.gateway.Clock;
+import org.kingcuproad.gateway.ProcessMetrics;
 import org.kingcuproad.gateway.SerialHttpConnection;
+import org.kingcuproad.gateway.SettingsFollower;
+import org.kingcuproad.gateway.StatusServer;
 import org.kingcuproad.gateway.StoreDialect;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -92,11 +95,12 @@
 
     private static final byte[] NO_BODY = new byte[0];
 
-    private final RankAgentSettings settings;
+    private RankAgentSettings settings;
     private final EngineDialect dialect;
     private final EventLoop eventLoop;
     private final Clock clock;
     private final DecisionLog log;
+    private final ProcessMetrics metrics = new ProcessMetrics();
     private final ReplyReader replies;
     private final SerialHttpConnection reports;
     private final SerialHttpConnection counters;
@@ -157,8 +161,30 @@
         this.reports = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.counters = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.directory = new GroupDirectory(settings, register, configuration, eventLoop, log);
-        this.orders = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log);
-        this.holds = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log);
+        this.orders = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log, metrics);
+        this.holds = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log, metrics);
+    }
+
+    /**
+     * Follows the settings while the agent runs.
+     *
+     * @param source where settings come from
+     * @return the follower, which has been started
+     */
+    public SettingsFollower<RankAgentSettings> followSettings(SettingsFollower.Source<RankAgentSettings> source) {
+        SettingsFollower<RankAgentSettings> follower =
+                new SettingsFollower<>(eventLoop, source, settings, this::apply, log);
+        follower.start();
+        return follower;
+    }
+
+    private void apply(RankAgentSettings next) {
+        RankAgentSettings applied = settings.withLinkMbps(next.linkMbps());
+        log.event("settings changed")
+                .field("linkMbps", Math.round(applied.linkMbps()))
+                .field("needsRestart", !applied.equals(next))
+                .write();
+        settings = applied;
     }
 
     /** Starts the agent. */
@@ -174,6 +200,8 @@
             scheduleReport();
             every(SAMPLE_MS, this::sampleIfDue);
             every(HELLO_MS, this::sayHello);
+            StatusServer.listen(
+                    eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render()));
             directory.start();
             log.event("rank agent started").field("name", settings.name()).write();
         });
@@ -340,7 +368,7 @@
         if (coordinator == null && current != null && current.rank() < DECIDING_RANKS && ranks > 1) {
             coordinator = directory
                     .shape()
-                    .map(shape -> new MapCoordinator(ranks, current.rank(), shape, log))
+                    .map(shape -> new MapCoordinator(ranks, current.rank(), shape, log, metrics))
                     .orElse(null);
         }
         return coordinator;
@@ -416,7 +444,7 @@
         return Optional.ofNullable(agents.get(rank))
                 .flatMap(directory::engineBeside)
                 .map(engine -> proxies.computeIfAbsent(
-                        rank, unused -> new RankProxy(rank, dialect, eventLoop, engine, clock, log)));
+                        rank, unused -> new RankProxy(rank, dialect, eventLoop, engine, clock, log, metrics)));
     }
 
     private void tellWish(MapCoordinator running, String name, long epoch, RankWish wanted) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankOrders.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.gateway.Clock;
 import org.kingcuproad.gateway.HttpReply;
+import org.kingcuproad.gateway.ProcessMetrics;
 import org.kingcuproad.gateway.SerialHttpConnection;
 import org.kingcuproad.policy.lockstep.EngineOrder;
 import org.kingcuproad.policy.lockstep.RankState;
@@ -45,15 +46,23 @@
     private final SerialHttpConnection connection;
     private final Clock clock;
     private final DecisionLog log;
+    private final ProcessMetrics metrics;
     private boolean busy;
     private @Nullable EngineOrder lastAccepted;
     private long pauseUntilMs;
 
-    RankOrders(EngineDialect dialect, EventLoop eventLoop, InetSocketAddress engine, Clock clock, DecisionLog log) {
+    RankOrders(
+            EngineDialect dialect,
+            EventLoop eventLoop,
+            InetSocketAddress engine,
+            Clock clock,
+            DecisionLog log,
+            ProcessMetrics metrics) {
         this.dialect = dialect;
         this.connection = new SerialHttpConnection(eventLoop, engine);
         this.clock = clock;
         this.log = log;
+        this.metrics = metrics;
     }
 
     /**
@@ -85,6 +94,7 @@
             return;
         }
         busy = true;
+        long givenMs = clock.steadyMs();
         long timeoutMs = timeoutMs(order);
         connection.call(HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), timeoutMs, reply -> {
             busy = false;
@@ -99,6 +109,8 @@
                     .field("epoch", epoch)
                     .field("outcome", outcome)
                     .write();
+            metrics.count("orders_" + (reply instanceof HttpReply.Answer answer ? answer.status() : "lost"));
+            metrics.time("order_ms", clock.steadyMs() - givenMs);
             if (reply instanceof HttpReply.Answer answer) {
                 onAnswer.accept(answer.status() == STATUS_OK || answer.status() == STATUS_ACCEPTED);
             }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankProxy.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.kingcuproad.gateway.Clock;
 import org.kingcuproad.gateway.HttpReply;
+import org.kingcuproad.gateway.ProcessMetrics;
 import org.kingcuproad.gateway.SerialHttpConnection;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.runtime.log.DecisionLog;
@@ -37,11 +38,12 @@
             EventLoop eventLoop,
             InetSocketAddress engine,
             Clock clock,
-            DecisionLog log) {
+            DecisionLog log,
+            ProcessMetrics metrics) {
         this.rank = rank;
         this.dialect = dialect;
         this.connection = new SerialHttpConnection(eventLoop, engine);
-        this.orders = new RankOrders(dialect, eventLoop, engine, clock, log);
+        this.orders = new RankOrders(dialect, eventLoop, engine, clock, log, metrics);
         this.clock = clock;
         this.log = log;
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/Freshness.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/Freshness.java
@@ -15,8 +15,8 @@
     /** Part of the time allowed for revocation after which the gateway asks for no new connections. */
     private static final double READY_SHARE = 0.6;
 
-    private final boolean strict;
-    private final long revokeMs;
+    private boolean strict;
+    private long revokeMs;
     private boolean confirmed;
     private long confirmedSteadyMs;
     private long confirmedWallMs;
@@ -32,6 +32,17 @@
         this.revokeMs = revokeMs;
     }
 
+    /**
+     * Changes the rules. The last proof stays.
+     *
+     * @param nextStrict whether keys stop being accepted without proof
+     * @param nextRevokeMs time after which a removed key is no longer accepted, in milliseconds
+     */
+    public void adjust(boolean nextStrict, long nextRevokeMs) {
+        strict = nextStrict;
+        revokeMs = nextRevokeMs;
+    }
+
     /**
      * Notes that the configuration was current at a time.
      *
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/WindowedBudget.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/WindowedBudget.java
@@ -11,23 +11,35 @@
  */
 public final class WindowedBudget {
 
-    private final double ratio;
-    private final long windowMs;
-    private final double slack;
+    private Limits limits;
     private final Deque<Long> requestsMs = new ArrayDeque<>();
     private final Deque<Long> extraMs = new ArrayDeque<>();
 
     /**
-     * Creates a budget.
+     * How much may be spent.
      *
      * @param ratio extra sends for each request
      * @param windowMs length of the sliding window, in milliseconds
      * @param slack this gateway's part of the slack, in sends a window
      */
-    public WindowedBudget(double ratio, long windowMs, double slack) {
-        this.ratio = ratio;
-        this.windowMs = windowMs;
-        this.slack = slack;
+    public record Limits(double ratio, long windowMs, double slack) {}
+
+    /**
+     * Creates a budget.
+     *
+     * @param limits how much may be spent
+     */
+    public WindowedBudget(Limits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * Changes how much may be spent. What was spent in the window counts on.
+     *
+     * @param next how much may be spent
+     */
+    public void adjust(Limits next) {
+        limits = next;
     }
 
     /**
@@ -48,7 +60,7 @@
     public boolean tryExtra(long nowMs) {
         trim(requestsMs, nowMs);
         trim(extraMs, nowMs);
-        if (extraMs.size() + 1 > ratio * requestsMs.size() + slack) {
+        if (extraMs.size() + 1 > limits.ratio * requestsMs.size() + limits.slack) {
             return false;
         }
         extraMs.addLast(nowMs);
@@ -56,7 +68,7 @@
     }
 
     private void trim(Deque<Long> times, long nowMs) {
-        while (!times.isEmpty() && times.getFirst() <= nowMs - windowMs) {
+        while (!times.isEmpty() && times.getFirst() <= nowMs - limits.windowMs) {
             times.removeFirst();
         }
     }
