--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -43,9 +45,15 @@
     /** Deadlines and limits are checked this often; clients allow for differences of half a second. */
     private static final long SWEEP_MS = 25;
 
-    /** Other gateways learn of this one's requests after at most this time. */
+    /** Other gateways learn of this one's requests after at most this time, if there are few. */
     private static final long TELL_PEERS_MS = 50;
 
+    /**
+     * Gateways above which they tell each other less often. Messages grow with the square of their number, while each
+     * has a smaller part of the requests.
+     */
+    private static final int MANY_PEERS = 6;
+
     /** Agents forget a gateway that does not repeat its subscription within three of these. */
     private static final long SUBSCRIBE_MS = 1_000;
 
@@ -53,7 +61,7 @@
      * Longest wait for a change of the configuration. The proof that it is current is up to twice as old, and both
      * readiness and denials need one that is younger than some seconds.
      */
-    private static final long CONFIGURATION_WAIT_MS = 1_500;
+    private static final long CONFIGURATION_WAIT_MS = 1_000;
 
     /** Longest wait for a change of the upstreams; a silent connection is noticed half a second later. */
     private static final long UPSTREAMS_WAIT_MS = 1_500;
@@ -181,16 +189,15 @@
             lastSweepSteadyMs = clock.steadyMs();
             lastSweepWallMs = clock.wallMs();
             listen();
-            StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness);
-            StatusServer.listen(
-                    eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render()));
+            endIfClosed(StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness));
+            logIfClosed(StatusServer.listen(
+                    eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render())));
             peerLink.open(eventLoop, settings.peerAddress());
             configurationFollower.start();
             upstreamFollower.start();
             peerDirectory.start();
             eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-            eventLoop.scheduleWithFixedDelay(
-                    () -> peerLink.send(this::ownLoads), TELL_PEERS_MS, TELL_PEERS_MS, TimeUnit.MILLISECONDS);
+            tellPeers();
             eventLoop.scheduleWithFixedDelay(this::subscribeToPaces, SUBSCRIBE_MS, SUBSCRIBE_MS, TimeUnit.MILLISECONDS);
             log.event("gateway started")
                     .field("name", settings.name())
@@ -200,11 +207,16 @@
     }
 
     /**
-     * Leaves: asks for no new clients, finishes what runs and stops within the grace period.
+     * Tells when the process may end.
      *
-     * @return completes when the process may end
+     * @return completes after {@link #leave}, or with the reason if the gateway can't listen
      */
-    public CompletableFuture<Void> leave() {
+    public CompletableFuture<Void> stopped() {
+        return stopped;
+    }
+
+    /** Leaves: asks for no new clients, finishes what runs and stops within the grace period. */
+    public void leave() {
         eventLoop.execute(() -> {
             if (leavingSinceMs < 0) {
                 leavingSinceMs = clock.steadyMs();
@@ -213,11 +225,10 @@
                         .write();
             }
         });
-        return stopped;
     }
 
     private void listen() {
-        listener = new ServerBootstrap()
+        listener = endIfClosed(new ServerBootstrap()
                 .group(eventLoop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -229,8 +240,28 @@
                         initClient(opened);
                     }
                 })
-                .bind(settings.clientAddress())
-                .channel();
+                .bind(settings.clientAddress()));
+    }
+
+    /** Ends the process if an address can't be listened at, since it would seem to run and serve nobody. */
+    private Channel endIfClosed(ChannelFuture bound) {
+        bound.addListener((ChannelFutureListener) future -> {
+            if (!future.isSuccess()) {
+                stopped.completeExceptionally(future.cause());
+            }
+        });
+        return logIfClosed(bound);
+    }
+
+    private Channel logIfClosed(ChannelFuture bound) {
+        bound.addListener((ChannelFutureListener) future -> {
+            if (!future.isSuccess()) {
+                log.event("address can't be listened at")
+                        .field("reason", String.valueOf(future.cause()))
+                        .write();
+            }
+        });
+        return bound.channel();
     }
 
     private void initClient(Channel opened) {
@@ -352,6 +383,12 @@
         return loads;
     }
 
+    private void tellPeers() {
+        peerLink.send(this::ownLoads);
+        long intervalMs = Math.round(TELL_PEERS_MS * Math.max(1.0, (double) peerLoads.count() / MANY_PEERS));
+        eventLoop.schedule(this::tellPeers, intervalMs, TimeUnit.MILLISECONDS);
+    }
+
     /** Takes a whole request. The body is released by the request's end. */
     void onRequest(ClientConnection connection, HttpRequest head, ByteBuf body) {
         metrics.count("requests");
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
@@ -64,6 +64,11 @@
         peer.loads = loads;
     }
 
+    /** Returns the number of other gateways that are known. */
+    int count() {
+        return peers.size();
+    }
+
     /** Returns the addresses of the other gateways. */
     List<InetSocketAddress> addresses(long nowMs) {
         peers.values().removeIf(peer -> nowMs - Math.max(peer.heardMs, peer.listedMs) > FORGET_MS);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StatusServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -45,9 +46,9 @@
      * @param eventLoops runs everything
      * @param address where to listen
      * @param status asked for each answer
-     * @return the listening channel
+     * @return completes when the address is listened at
      */
-    public static Channel listen(EventLoopGroup eventLoops, InetSocketAddress address, Supplier<Status> status) {
+    public static ChannelFuture listen(EventLoopGroup eventLoops, InetSocketAddress address, Supplier<Status> status) {
         return new ServerBootstrap()
                 .group(eventLoops)
                 .channel(NioServerSocketChannel.class)
@@ -62,8 +63,7 @@
                                         new Answerer(status));
                     }
                 })
-                .bind(address)
-                .channel();
+                .bind(address);
     }
 
     private static final class Answerer extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -60,8 +60,8 @@
     /** Recent choices below which the loads say little; a request of usual size makes some ten thousand. */
     private static final double LEAST_CHOICES = 500_000;
 
-    /** During a change a rank's agent tells its state several times in this time. */
-    private static final long SILENT_MS = 150;
+    /** Longer than the time between two reports of a rank without anything to do; acting from afar is charged. */
+    private static final long SILENT_MS = 260;
 
     /** Silence of rank 0 after which rank 1 ends its hold; longer than a single lost or late message. */
     private static final long RESCUE_MS = 300;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -63,7 +63,7 @@
      * A change seldom takes longer. A rank that has done its part goes on telling its state, or rank 0 would act at its
      * engine from afar, and maps sent to many engines fill the link.
      */
-    private static final long CHANGE_MS = 2_000;
+    private static final long CHANGE_MS = 700;
 
     /** Held experts change with the map only; a lost datagram is replaced this soon. */
     private static final long TELL_HELD_MS = 500;
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
@@ -99,6 +99,11 @@
     }
 
     private void startGateway() throws Exception {
+        createGateway().start();
+        awaitServing();
+    }
+
+    private Gateway createGateway() throws Exception {
         GatewayConfiguration configuration = new GatewayConfiguration(
                 3,
                 List.of(
@@ -155,8 +160,7 @@
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         open.add(() -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
         LineSink sink = new LineSink(java.io.OutputStream.nullOutputStream());
-        new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis)).start();
-        awaitServing();
+        return new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis));
     }
 
     private void awaitServing() throws Exception {
@@ -198,6 +202,19 @@
                 FakeUpstream.answer(FakeUpstream.header(request, "X-Request"), 200, SEAL, body), false);
     }
 
+    /** A second process at the same address would seem to run, follow the store and serve nobody. */
+    @Test
+    void endsIfItsAddressIsTaken() throws Exception {
+        try (ServerSocket taken = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+            Gateway gateway = createGateway();
+            gateway.start();
+
+            assertThat(gateway.stopped())
+                    .as("gateway at %s", taken.getLocalSocketAddress())
+                    .failsWithin(Duration.ofSeconds(5));
+        }
+    }
+
     @Test
     void passesARequestOnWithItsWorkspaceAndWithoutItsKey() throws Exception {
         FakeUpstream upstream = upstream(request -> ok(request, "done"));
