Stop listening before a leaving gateway ends

A client accepted in the milliseconds before the end of the process had its request passed on and its connection cut off.

Change: the listener is closed first; the gateway ends when no connection is left after that, or when the grace period ends.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -530,18 +530,28 @@
         }
     }
 
+    /** A client that is accepted after the last connection was seen would be cut off by the end of the process. */
+    private void closeListener() {
+        Channel open = listener;
+        listener = null;
+        if (open != null) {
+            open.close();
+        }
+    }
+
     private void sweepLeaving(long nowMs) {
         long leavingForMs = nowMs - leavingSinceMs;
         if (leavingForMs > BALANCER_NOTICE_MS) {
             List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
         }
-        Channel open = listener;
-        if (leavingForMs > ACCEPT_WHILE_LEAVING_MS && open != null) {
-            listener = null;
-            open.close();
+        boolean finished = listener == null && connections.isEmpty();
+        boolean unasked = leavingForMs > BALANCER_NOTICE_MS && connections.isEmpty();
+        boolean graceEnds = leavingForMs > settings.drainGraceMs() - STOP_RESERVE_MS;
+        if (unasked || leavingForMs > ACCEPT_WHILE_LEAVING_MS || graceEnds) {
+            closeListener();
         }
-        boolean finished = leavingForMs > BALANCER_NOTICE_MS && connections.isEmpty();
-        if ((finished || leavingForMs > settings.drainGraceMs() - STOP_RESERVE_MS) && !stopped.isDone()) {
+        if ((finished || graceEnds) && !stopped.isDone()) {
+            List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
             log.event("gateway stopped")
                     .field("connections", connections.size())
                     .field("afterMs", leavingForMs)
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -203,6 +204,18 @@
                 FakeUpstream.answer(FakeUpstream.header(request, "X-Request"), 200, SEAL, body), false);
     }
 
+    /** A client that is accepted when the gateway has nothing left to do would be cut off by the end of the process. */
+    @Test
+    void acceptsNobodyOnceItHasStopped() throws Exception {
+        Gateway gateway = createGateway();
+        gateway.start();
+        awaitServing();
+        gateway.leave();
+        gateway.stopped().get(10, TimeUnit.SECONDS);
+
+        assertThatThrownBy(() -> new Socket("127.0.0.1", port).close()).isInstanceOf(IOException.class);
+    }
+
     /** A second process at the same address would seem to run, follow the store and serve nobody. */
     @Test
     void endsIfItsAddressIsTaken() throws Exception {
