--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -74,7 +74,7 @@
     private final PassSwitch passSwitch;
     private final ExpertLoads longLoads = new ExpertLoads(LONG_HALF_LIFE_MS);
     private final ExpertLoads shortLoads = new ExpertLoads(SHORT_HALF_LIFE_MS);
-    private final SortedMap<Integer, HeldExperts> held = new TreeMap<>();
+    private final SortedMap<Integer, RankExperts> held = new TreeMap<>();
     private @Nullable ExpertLists assembled;
     private long assembledEpoch;
     private long assembledVersion;
@@ -108,7 +108,7 @@
     }
 
     /** Takes what a rank holds with the map in use. */
-    void onHeld(int rank, HeldExperts experts) {
+    void onHeld(int rank, RankExperts experts) {
         held.put(rank, experts);
         assembled = null;
     }
@@ -201,7 +201,7 @@
         if (assembled == null || assembledEpoch != own.epoch() || assembledVersion != own.mapVersion()) {
             List<int[][]> known = held.values().stream()
                     .filter(rank -> rank.matches(own.epoch(), own.mapVersion()))
-                    .map(HeldExperts::bySet)
+                    .map(RankExperts::bySet)
                     .toList();
             assembled = known.size() == ranks ? ExpertLists.ofRanks(known) : null;
             assembledEpoch = own.epoch();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,11 +30,11 @@
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.lockstep.ChoiceSample;
-import org.kingcuproad.policy.lockstep.ChoiceSampler;
 import org.kingcuproad.policy.lockstep.EngineOrder;
 import org.kingcuproad.policy.lockstep.PassSwitch;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.policy.lockstep.RankWish;
+import org.kingcuproad.policy.lockstep.SampleInterval;
 import org.kingcuproad.policy.lockstep.SwitchAction;
 import org.kingcuproad.runtime.log.DecisionLog;
 
@@ -68,16 +67,8 @@
     /** Held experts change with the map only; a lost datagram is replaced this soon. */
     private static final long TELL_HELD_MS = 500;
 
-    /** A shift of popularity shows in two or three samples, well within its length of some seconds. */
-    private static final long SAMPLE_MS = 200;
-
-    /** Part of the link of rank 0 that samples of all ranks may take; states and wishes need the rest. */
-    private static final double SAMPLES_LINK_SHARE = 0.25;
-
-    /** Bytes of a sample's datagram beside its numbers: headers of IP and UDP, name of the group. */
-    private static final int SAMPLE_OVERHEAD_BYTES = 64;
-
-    private static final double BITS_A_MS_PER_MBPS = 1_000;
+    /** Samples are due at most this often. */
+    private static final long SAMPLE_CHECK_MS = 100;
 
     /** A restarted agent of rank 0 or 1 is known again after this time; the datagrams are some bytes. */
     private static final long HELLO_MS = 500;
@@ -103,7 +94,7 @@
     private final ProcessMetrics metrics = new ProcessMetrics();
     private final ReplyReader replies;
     private final SerialHttpConnection reports;
-    private final SerialHttpConnection counters;
+    private final EngineCounters counters;
     private final GroupDirectory directory;
     private final PaceNotice paceNotice = new PaceNotice(this::sendBytes);
     private final Map<Integer, InetSocketAddress> agents = new HashMap<>();
@@ -115,11 +106,9 @@
     private @Nullable String group;
     private @Nullable MapCoordinator coordinator;
     private int ranks;
-    private @Nullable HeldExperts held;
     private long heldToldMs = Long.MIN_VALUE / 2;
     private @Nullable RankState toldState;
     private long stateToldMs = Long.MIN_VALUE / 2;
-    private ChoiceSampler sampler = new ChoiceSampler();
     private final WishSpreader spreader = new WishSpreader(this::send);
     private @Nullable RankWish wish;
     private long wishEpoch;
@@ -130,7 +119,6 @@
     private long wishedMs = Long.MIN_VALUE / 2;
     private double pace = 1;
     private boolean reporting;
-    private boolean counting;
     private boolean coordinating;
 
     /**
@@ -159,7 +147,7 @@
         this.log = log;
         this.replies = new ReplyReader(log);
         this.reports = new SerialHttpConnection(eventLoop, settings.engineAddress());
-        this.counters = new SerialHttpConnection(eventLoop, settings.engineAddress());
+        this.counters = new EngineCounters(dialect, replies, eventLoop, settings.engineAddress());
         this.directory = new GroupDirectory(settings, register, configuration, eventLoop, log);
         this.orders = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log, metrics);
         this.holds = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log, metrics);
@@ -198,7 +186,7 @@
                     .bind(settings.agentAddress())
                     .channel();
             scheduleReport();
-            every(SAMPLE_MS, this::sampleIfDue);
+            every(SAMPLE_CHECK_MS, this::sampleIfDue);
             every(HELLO_MS, this::sayHello);
             StatusServer.listen(
                     eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render()));
@@ -291,37 +279,20 @@
             ranks = place.ranks();
             group = place.group();
             coordinator = null;
-            held = null;
-            sampler = new ChoiceSampler();
+            counters.forget();
         }
         RankState current = report.state(clock.steadyMs()).orElseThrow();
         state = current;
         pace = report.pace();
         paceNotice.send(pace, clock.steadyMs());
-        HeldExperts experts = held;
-        if (experts == null || !experts.matches(current.epoch(), current.mapVersion())) {
-            readExperts(current.epoch());
+        if (counters.held(current).isEmpty()) {
+            counters.readHeld(current.epoch(), () -> heldToldMs = Long.MIN_VALUE / 2);
         }
         tell(current);
         followWish();
         adjustReports();
     }
 
-    private void readExperts(long epoch) {
-        if (counting) {
-            return;
-        }
-        counting = true;
-        counters.call(HttpMethod.GET, dialect.expertsTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
-            counting = false;
-            replies.read(reply, "experts", dialect::readExperts).ifPresent(told -> {
-                Arrays.stream(told.bySet()).forEach(Arrays::sort);
-                held = new HeldExperts(epoch, told.mapVersion(), told.bySet());
-                heldToldMs = Long.MIN_VALUE / 2;
-            });
-        });
-    }
-
     private void tell(RankState current) {
         String name = group;
         if (name == null) {
@@ -335,15 +306,14 @@
             tellDeciding(new RankMessage.State(name, current, pace));
         }
         MapCoordinator running = coordinator();
-        HeldExperts experts = held;
-        if (experts != null
-                && experts.matches(current.epoch(), current.mapVersion())
-                && nowMs - heldToldMs >= TELL_HELD_MS) {
-            heldToldMs = nowMs;
-            tellDeciding(new RankMessage.Held(name, current.rank(), experts));
-            if (running != null) {
-                running.onHeld(current.rank(), experts);
-            }
+        if (nowMs - heldToldMs >= TELL_HELD_MS) {
+            counters.held(current).ifPresent(experts -> {
+                heldToldMs = nowMs;
+                tellDeciding(new RankMessage.Held(name, current.rank(), experts));
+                if (running != null) {
+                    running.onHeld(current.rank(), experts);
+                }
+            });
         }
         if (running != null) {
             running.onState(current, pace);
@@ -499,27 +469,17 @@
     private void sampleIfDue() {
         RankState current = state;
         String name = group;
-        if (counting || current == null || name == null || clock.steadyMs() - sampledMs < sampleIntervalMs()) {
-            return;
+        long nowMs = clock.steadyMs();
+        long intervalMs = directory
+                .shape()
+                .map(shape -> SampleInterval.ofMs(shape, ranks, settings.linkMbps()))
+                .orElse(Long.MAX_VALUE);
+        if (current != null
+                && name != null
+                && nowMs - sampledMs >= intervalMs
+                && counters.sample(sample -> onSample(name, current.rank(), sample))) {
+            sampledMs = nowMs;
         }
-        counting = true;
-        sampledMs = clock.steadyMs();
-        counters.call(HttpMethod.GET, dialect.countersTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
-            counting = false;
-            replies.read(reply, "counters", dialect::readCounters)
-                    .flatMap(sampler::sample)
-                    .ifPresent(sample -> onSample(name, current.rank(), sample));
-        });
-    }
-
-    /** Returns how often to sample, so that the samples of all ranks fit into the link of rank 0. */
-    private long sampleIntervalMs() {
-        int counterCount =
-                directory.shape().map(shape -> shape.sets() * shape.experts()).orElse(0);
-        int bytes = ChoiceSample.packedBytes(counterCount, ChoiceSampler.bits(counterCount)) + SAMPLE_OVERHEAD_BYTES;
-        double bitsOfAll = (double) bytes * Byte.SIZE * ranks;
-        double linkMs = bitsOfAll / (SAMPLES_LINK_SHARE * settings.linkMbps() * BITS_A_MS_PER_MBPS);
-        return Math.max(SAMPLE_MS, Math.round(linkMs));
     }
 
     private void onSample(String name, int rank, ChoiceSample sample) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/HeldExperts.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankExperts.java
@@ -8,7 +8,7 @@
  * @param bySet experts by set, in ascending order
  */
 @SuppressWarnings("ArrayRecordComponent")
-record HeldExperts(long epoch, long mapVersion, int[][] bySet) {
+record RankExperts(long epoch, long mapVersion, int[][] bySet) {
 
     boolean matches(long otherEpoch, long otherMapVersion) {
         return epoch == otherEpoch && mapVersion == otherMapVersion;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
@@ -29,7 +29,7 @@
     record State(String group, RankState state, double pace) implements RankMessage {}
 
     /** Experts that a rank holds by set with the map in use, for the coordinator. */
-    record Held(String group, int rank, HeldExperts experts) implements RankMessage {}
+    record Held(String group, int rank, RankExperts experts) implements RankMessage {}
 
     /** What the requests of a rank chose recently, for the coordinator. */
     record Choices(String group, ChoiceSample sample) implements RankMessage {}
@@ -100,7 +100,7 @@
             case 2 -> Optional.of(new State(group, readState(in), in.readDouble()));
             case 3 ->
                 Optional.of(new Held(
-                        group, in.readUnsignedShort(), new HeldExperts(in.readLong(), in.readLong(), readLists(in))));
+                        group, in.readUnsignedShort(), new RankExperts(in.readLong(), in.readLong(), readLists(in))));
             case 4 -> Optional.of(new Choices(group, readSample(in)));
             case 5 -> Optional.of(new Wanted(group, in.readLong(), readWish(in), readAddresses(in)));
             default -> Optional.empty();
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/rank/RankMessageTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/rank/RankMessageTest.java
@@ -27,7 +27,7 @@
         return Stream.of(
                 new RankMessage.Hello("g0", 61, 7),
                 new RankMessage.State("g0", state, 1.75),
-                new RankMessage.Held("g0", 61, new HeldExperts(7, 3, new int[][] {{0, 250}, {}, {4, 5, 6}})),
+                new RankMessage.Held("g0", 61, new RankExperts(7, 3, new int[][] {{0, 250}, {}, {4, 5, 6}})),
                 new RankMessage.Choices("g0", new ChoiceSample(5, 3, 4, new byte[] {1, (byte) 0xf2, 3})),
                 new RankMessage.Wanted("g0", 7, new RankWish.Prepared(9, MAP), others),
                 new RankMessage.Wanted("g0", 7, new RankWish.Cleared(9, MAP), List.of()),
