Take what the configuration says of a service also when its upstreams were known first

A gateway that knew the entries of a service before the configuration took its engines for plain services until it was restarted: it did not spread prompt tokens, did not subscribe to paces, and had no expected length of streams.

Change: each change of the configuration describes the services anew.

Test: GatewayTest.subscribesToEnginesThatWereKnownBeforeTheConfiguration fails before.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -30,7 +30,6 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
-import org.kingcuproad.policy.gateway.ServiceProfile;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedBudget;
 import org.kingcuproad.runtime.log.DecisionLog;
@@ -359,17 +358,15 @@
                         .computeIfAbsent(entry.service(), unused -> new ArrayList<>())
                         .add(entry));
         byService.keySet().forEach(this::places);
+        knowledge
+                .configuration()
+                .ifPresent(current -> current.services()
+                        .forEach((service, profile) -> places(service).describe(profile)));
         services.forEach((service, places) -> places.update(byService.getOrDefault(service, List.of())));
     }
 
     private ServicePlaces places(String service) {
-        return services.computeIfAbsent(service, name -> {
-            Optional<ServiceProfile> profile =
-                    knowledge.configuration().map(current -> current.services().get(name));
-            boolean engine = profile.map(ServiceProfile::engine).orElse(false);
-            int tokensPerEvent = profile.map(ServiceProfile::tokensPerEvent).orElse(0);
-            return new ServicePlaces(this, engine, tokensPerEvent, new WindowedBudget(budgetLimits()));
-        });
+        return services.computeIfAbsent(service, unused -> new ServicePlaces(this, new WindowedBudget(budgetLimits())));
     }
 
     private Map<String, PeerLoads.Load> ownLoads() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServicePlaces.java
@@ -22,6 +22,7 @@
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.ServicePace;
+import org.kingcuproad.policy.gateway.ServiceProfile;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedBudget;
 
@@ -35,8 +36,8 @@
     private static final long ONCE_MAX_IDLE_MS = 1_000;
 
     private final Gateway gateway;
-    private final boolean engine;
-    private final int tokensPerEvent;
+    private boolean engine;
+    private int tokensPerEvent;
     private final Map<String, Upstream> upstreams = new HashMap<>();
     private List<Upstream> order = List.of();
     private final PlaceQueue<Exchange> queue = new PlaceQueue<>(Exchange::waiting);
@@ -46,10 +47,8 @@
     private int rotation;
     private boolean pumping;
 
-    ServicePlaces(Gateway gateway, boolean engine, int tokensPerEvent, WindowedBudget budget) {
+    ServicePlaces(Gateway gateway, WindowedBudget budget) {
         this.gateway = gateway;
-        this.engine = engine;
-        this.tokensPerEvent = tokensPerEvent;
         this.budget = budget;
     }
 
@@ -95,6 +94,12 @@
         pump();
     }
 
+    /** Takes what the configuration says of the service, which may become known after its first upstreams. */
+    void describe(ServiceProfile profile) {
+        engine = profile.engine();
+        tokensPerEvent = profile.tokensPerEvent();
+    }
+
     void adjustBudget(WindowedBudget.Limits limits) {
         budget.adjust(limits);
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeDialect.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeDialect.java
@@ -8,8 +8,15 @@
 
     private final List<StoreObject<T>> objects;
 
+    private final String listTarget;
+
     FakeDialect(List<StoreObject<T>> objects) {
+        this(objects, "/list");
+    }
+
+    FakeDialect(List<StoreObject<T>> objects, String listTarget) {
         this.objects = objects;
+        this.listTarget = listTarget;
     }
 
     @Override
@@ -19,7 +26,7 @@
 
     @Override
     public String listTarget(Optional<String> after) {
-        return "/list";
+        return listTarget;
     }
 
     @Override
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
@@ -6,6 +6,8 @@
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -59,6 +61,9 @@
     private final List<AutoCloseable> open = new ArrayList<>();
     private final List<UpstreamEntry> entries = new ArrayList<>();
     private int port;
+    private int peerPort;
+    private boolean engines;
+    private String configurationTarget = "/list";
 
     @BeforeEach
     void choosePort() throws IOException {
@@ -112,7 +117,7 @@
                         route(RouteKind.IDEMPOTENT, 2),
                         route(RouteKind.NON_IDEMPOTENT, 1),
                         route(RouteKind.STREAMING, 2)),
-                Map.of("desk", new ServiceProfile("desk", 10, false, 0, Optional.empty())),
+                Map.of("desk", new ServiceProfile("desk", 10, engines, 0, Optional.empty())),
                 new ClientLimits(8_192, 10_000, 1_000, 5_000),
                 true,
                 Map.of("k1", new KeyHolder("office", OptionalInt.empty())));
@@ -126,6 +131,15 @@
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
         });
+        store.createContext("/late-list", exchange -> {
+            try {
+                Thread.sleep(500);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+            exchange.sendResponseHeaders(200, -1);
+            exchange.close();
+        });
         store.createContext("/watch", exchange -> {
             try {
                 Thread.sleep(500);
@@ -146,7 +160,7 @@
                 new InetSocketAddress("127.0.0.1", port),
                 new InetSocketAddress("127.0.0.1", freePort()),
                 new InetSocketAddress("127.0.0.1", freePort()),
-                new InetSocketAddress("127.0.0.1", 0),
+                new InetSocketAddress("127.0.0.1", peerPort),
                 store.getAddress(),
                 true,
                 5_000,
@@ -156,7 +170,8 @@
                 100);
         GatewayDialect dialect = new GatewayDialect(
                 NAMES,
-                new FakeDialect<>(List.of(new StoreObject<>("main", Optional.of(configuration), ""))),
+                new FakeDialect<>(
+                        List.of(new StoreObject<>("main", Optional.of(configuration), "")), configurationTarget),
                 new FakeDialect<>(upstreams),
                 new FakeRegistry());
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -216,6 +231,23 @@
         assertThatThrownBy(() -> new Socket("127.0.0.1", port).close()).isInstanceOf(IOException.class);
     }
 
+    /** A gateway that took engines for plain services neither spread prompts evenly nor heard of slow ranks. */
+    @Test
+    void subscribesToEnginesThatWereKnownBeforeTheConfiguration() throws Exception {
+        engines = true;
+        configurationTarget = "/late-list";
+        try (DatagramSocket agent = new DatagramSocket(0, InetAddress.getByName("127.0.0.2"))) {
+            peerPort = agent.getLocalPort();
+            entries.add(new UpstreamEntry("u0", "desk", "127.0.0.2", 9, "dc", 4, false, 0));
+            createGateway().start();
+            agent.setSoTimeout(5_000);
+            DatagramPacket packet = new DatagramPacket(new byte[100], 100);
+            agent.receive(packet);
+
+            assertThat(packet.getLength()).as("length of a subscription").isEqualTo(1);
+        }
+    }
+
     /** A second process at the same address would seem to run, follow the store and serve nobody. */
     @Test
     void endsIfItsAddressIsTaken() throws Exception {
