--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -1,19 +1,12 @@
 package org.kingcuproad.gateway;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -65,13 +58,6 @@
     /** Longest wait for a change of the upstreams; a silent connection is noticed half a second later. */
     private static final long UPSTREAMS_WAIT_MS = 1_500;
 
-    /** Connections not yet accepted; a full queue delays a client by seconds, and all return after a restart. */
-    private static final int ACCEPT_BACKLOG = 1_024;
-    /** Usual limit of HTTP servers, where the configuration allows no more. */
-    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
-    /** Largest piece of a body in one message, the default of Netty. */
-    private static final int CHUNK_BYTES = 8_192;
-
     /** Knowledge older than this may miss a route or key that exists, so its absence is no reason for a 4xx. */
     private static final long CERTAIN_AGE_MS = 2_500;
 
@@ -187,7 +173,8 @@
         eventLoop.execute(() -> {
             lastSweepSteadyMs = clock.steadyMs();
             lastSweepWallMs = clock.wallMs();
-            listen();
+            listener = endIfClosed(
+                    ClientListener.listen(eventLoop, settings.clientAddress(), knowledge::limits, this::openClient));
             endIfClosed(StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness));
             logIfClosed(StatusServer.listen(
                     eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render())));
@@ -226,22 +213,6 @@
         });
     }
 
-    private void listen() {
-        listener = endIfClosed(new ServerBootstrap()
-                .group(eventLoop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel opened) {
-                        initClient(opened);
-                    }
-                })
-                .bind(settings.clientAddress()));
-    }
-
     /** Ends the process if an address can't be listened at, since it would seem to run and serve nobody. */
     private Channel endIfClosed(ChannelFuture bound) {
         bound.addListener((ChannelFutureListener) future -> {
@@ -263,24 +234,10 @@
         return bound.channel();
     }
 
-    private void initClient(Channel opened) {
-        ClientLimits limits = knowledge.limits();
+    private ClientConnection openClient(Channel opened, ClientLimits limits) {
         ClientConnection connection = new ClientConnection(this, opened, limits);
         connections.add(connection);
-        opened.pipeline()
-                .addLast(
-                        new ChannelInboundHandlerAdapter() {
-                            @Override
-                            public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-                                connection.onBytes();
-                                super.channelRead(context, message);
-                            }
-                        },
-                        new HttpServerCodec(
-                                Math.max(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes()),
-                                limits.maxHeaderBytes(),
-                                CHUNK_BYTES),
-                        connection);
+        return connection;
     }
 
     /** Opens a connection to an upstream for an attempt. */
@@ -369,18 +326,8 @@
         return services.computeIfAbsent(service, unused -> new ServicePlaces(this, new WindowedBudget(budgetLimits())));
     }
 
-    private Map<String, PeerLoads.Load> ownLoads() {
-        Map<String, PeerLoads.Load> loads = new HashMap<>();
-        services.values().stream()
-                .flatMap(places -> places.upstreams().stream())
-                .filter(upstream -> upstream.inFlight() > 0)
-                .forEach(upstream -> loads.put(
-                        upstream.entry().id(), new PeerLoads.Load(upstream.inFlight(), upstream.unreadTokens())));
-        return loads;
-    }
-
     private void tellPeers() {
-        peerLink.send(this::ownLoads);
+        peerLink.send(() -> PeerLoads.of(services.values().stream().flatMap(places -> places.upstreams().stream())));
         long intervalMs = Math.round(TELL_PEERS_MS * Math.max(1.0, (double) peerLoads.count() / MANY_PEERS));
         eventLoop.schedule(this::tellPeers, intervalMs, TimeUnit.MILLISECONDS);
     }
@@ -456,28 +403,16 @@
         long durationMs = clock.steadyMs() - exchange.arrivedMs();
         metrics.count("answers_" + status);
         metrics.time("answer_ms_" + exchange.route().kind(), durationMs);
-        log.event("request finished")
-                .field("request", exchange.requestId())
-                .field("route", exchange.route().name())
-                .field("status", status)
-                .field("outcome", outcome)
-                .field("upstream", upstreamId)
-                .field("sends", exchange.sends())
-                .field("problem", Optional.ofNullable(exchange.lastProblem()).orElse(""))
-                .field("queuedMs", exchange.queuedMs())
-                .field("firstAnswerMs", exchange.firstAnswerMs())
-                .field("longestGapMs", exchange.longestGapMs())
-                .field("durationMs", durationMs)
-                .field("timeAllowedMs", exchange.giveUpMs() - exchange.arrivedMs())
-                .field("waiting", places(exchange.service()).waiting())
-                .field(
-                        "configuration",
-                        knowledge
-                                .configuration()
-                                .map(GatewayConfiguration::version)
-                                .orElse(0L))
-                .field("configurationAgeMs", knowledge.ageMs())
-                .write();
+        RequestRecord.write(
+                log,
+                exchange,
+                new RequestRecord.End(
+                        status,
+                        outcome,
+                        upstreamId,
+                        durationMs,
+                        places(exchange.service()).waiting()),
+                knowledge);
         exchange.setDone();
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.kingcuproad.policy.gateway.PlaceLimit;
 
 /** What the other gateways have at each upstream, as far as they told. */
@@ -49,6 +50,16 @@
         }
     }
 
+    /** Returns what a gateway has at its upstreams, to be told to the others. */
+    static Map<String, Load> of(Stream<Upstream> upstreams) {
+        Map<String, Load> loads = new HashMap<>();
+        upstreams
+                .filter(upstream -> upstream.inFlight() > 0)
+                .forEach(upstream ->
+                        loads.put(upstream.entry().id(), new Load(upstream.inFlight(), upstream.unreadTokens())));
+        return loads;
+    }
+
     /** Notes a gateway that registered itself. */
     void onListed(String name, InetSocketAddress address, long nowMs) {
         Peer peer = peers.computeIfAbsent(name, unused -> new Peer(address));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -1,24 +1,14 @@
 package org.kingcuproad.gateway.rank;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.gateway.Clock;
@@ -46,24 +36,9 @@
  */
 public final class RankAgent {
 
-    /** Rank 1 takes a longer silence of rank 0 for a fault, so both tell their states several times in that time. */
-    private static final long DECIDING_REPORT_MS = 100;
-
-    /** Other ranks report less often while nothing changes; each report takes processor time of a small VM. */
-    private static final long IDLE_REPORT_MS = 200;
-
-    /** While a map is changed the group may stand still, so states are read more often. */
-    private static final long ACTIVE_REPORT_MS = 20;
-
     /** Least time between two messages of an unchanged state during a change; rank 0 takes silence for a fault. */
     private static final long ACTIVE_TELL_MS = 60;
 
-    /**
-     * A change seldom takes longer. A rank that has done its part goes on telling its state, or rank 0 would act at its
-     * engine from afar, and maps sent to many engines fill the link.
-     */
-    private static final long CHANGE_MS = 700;
-
     /** Held experts change with the map only; a lost datagram is replaced this soon. */
     private static final long TELL_HELD_MS = 500;
 
@@ -75,9 +50,6 @@
     /** The engine on the same VM answers in milliseconds, but a busy processor may take a tenth of a second. */
     private static final long CALL_TIMEOUT_MS = 300;
 
-    /** A wish with the map of 63 ranks, 8 sets and 5 places needs about 3 KB. */
-    private static final int MAX_DATAGRAM_BYTES = 16 << 10;
-
     /** Ranks at whose engines this agent acts at the same time; maps for more would fill its link. */
     private static final int MOST_PROXIED = 4;
 
@@ -98,10 +70,10 @@
     private final GroupDirectory directory;
     private final PaceNotice paceNotice = new PaceNotice(this::sendBytes);
     private final Map<Integer, InetSocketAddress> agents = new HashMap<>();
-    private final Map<Integer, RankProxy> proxies = new HashMap<>();
+    private final RankProxies proxies;
     private final RankOrders orders;
     private final RankOrders holds;
-    private @Nullable Channel channel;
+    private final RankDatagrams datagrams;
     private @Nullable RankState state;
     private @Nullable String group;
     private @Nullable MapCoordinator coordinator;
@@ -114,9 +86,7 @@
     private long wishEpoch;
     private boolean holdersTurnTold;
     private long sampledMs = Long.MIN_VALUE / 2;
-    private @Nullable Future<?> nextReport;
-    private boolean reportsFast;
-    private long wishedMs = Long.MIN_VALUE / 2;
+    private final ReportSchedule schedule;
     private double pace = 1;
     private boolean reporting;
     private boolean coordinating;
@@ -145,9 +115,12 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        this.schedule = new ReportSchedule(eventLoop, clock, this::report);
+        this.datagrams = new RankDatagrams(log, this::onMessage, this::onSubscription);
         this.replies = new ReplyReader(log);
         this.reports = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.counters = new EngineCounters(dialect, replies, eventLoop, settings.engineAddress());
+        this.proxies = new RankProxies(dialect, eventLoop, clock, log, metrics);
         this.directory = new GroupDirectory(settings, register, configuration, eventLoop, log);
         this.orders = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log, metrics);
         this.holds = new RankOrders(dialect, eventLoop, settings.engineAddress(), clock, log, metrics);
@@ -178,14 +151,8 @@
     /** Starts the agent. */
     public void start() {
         eventLoop.execute(() -> {
-            channel = new Bootstrap()
-                    .group(eventLoop)
-                    .channel(NioDatagramChannel.class)
-                    .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
-                    .handler(new Receiver())
-                    .bind(settings.agentAddress())
-                    .channel();
-            scheduleReport();
+            datagrams.open(eventLoop, settings.agentAddress());
+            schedule.start();
             every(SAMPLE_CHECK_MS, this::sampleIfDue);
             every(HELLO_MS, this::sayHello);
             StatusServer.listen(
@@ -216,37 +183,9 @@
         return wish != null || (running != null && running.active());
     }
 
-    /** Schedules the next report anew, soon if a change is going on. */
-    private void scheduleReport() {
-        Future<?> scheduled = nextReport;
-        if (scheduled != null) {
-            scheduled.cancel(false);
-        }
-        nextReport = eventLoop.schedule(
-                () -> {
-                    report();
-                    scheduleReport();
-                },
-                reportIntervalMs(),
-                TimeUnit.MILLISECONDS);
-    }
-
-    private long reportIntervalMs() {
-        RankState current = state;
-        if (reportsFast) {
-            return ACTIVE_REPORT_MS;
-        }
-        if (clock.steadyMs() - wishedMs < CHANGE_MS) {
-            return ACTIVE_TELL_MS;
-        }
-        return current != null && current.rank() < DECIDING_RANKS ? DECIDING_REPORT_MS : IDLE_REPORT_MS;
-    }
-
     private void adjustReports() {
-        if (active() != reportsFast) {
-            reportsFast = active();
-            scheduleReport();
-        }
+        RankState current = state;
+        schedule.adjust(active(), current != null && current.rank() < DECIDING_RANKS);
     }
 
     private void report() {
@@ -269,8 +208,7 @@
         if (known == null || known.epoch() != place.epoch() || known.rank() != place.rank()) {
             wish = null;
             agents.clear();
-            proxies.values().forEach(RankProxy::close);
-            proxies.clear();
+            proxies.forget();
             log.event("place in group")
                     .field("group", place.group())
                     .field("rank", place.rank())
@@ -413,8 +351,7 @@
     private Optional<RankProxy> proxy(int rank) {
         return Optional.ofNullable(agents.get(rank))
                 .flatMap(directory::engineBeside)
-                .map(engine -> proxies.computeIfAbsent(
-                        rank, unused -> new RankProxy(rank, dialect, eventLoop, engine, clock, log, metrics)));
+                .map(engine -> proxies.of(rank, engine));
     }
 
     private void tellWish(MapCoordinator running, String name, long epoch, RankWish wanted) {
@@ -438,7 +375,7 @@
     private void onWish(long epoch, RankWish wanted) {
         wish = wanted;
         wishEpoch = epoch;
-        wishedMs = clock.steadyMs();
+        schedule.onWish();
         followWish();
         adjustReports();
     }
@@ -502,16 +439,15 @@
     }
 
     private void send(RankMessage message, InetSocketAddress address) {
-        ByteBuf bytes = Unpooled.buffer();
-        RankMessage.write(bytes, message);
-        sendBytes(bytes, address);
+        datagrams.send(message, address);
     }
 
     private void sendBytes(ByteBuf bytes, InetSocketAddress address) {
-        Channel open = channel;
-        if (open != null && open.isActive()) {
-            open.writeAndFlush(new DatagramPacket(bytes, address));
-        }
+        datagrams.sendBytes(bytes, address);
+    }
+
+    private void onSubscription(InetSocketAddress gateway) {
+        paceNotice.onSubscription(gateway, clock.steadyMs());
     }
 
     private void onMessage(RankMessage message, InetSocketAddress sender) {
@@ -555,27 +491,4 @@
             }
         }
     }
-
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            try {
-                if (PaceNotice.isSubscription(packet.content())) {
-                    paceNotice.onSubscription(packet.sender(), clock.steadyMs());
-                    return;
-                }
-                RankMessage.read(packet.content()).ifPresent(message -> onMessage(message, packet.sender()));
-            } catch (IndexOutOfBoundsException truncated) {
-                log.event("unreadable datagram")
-                        .field("sender", String.valueOf(packet.sender()))
-                        .write();
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            log.event("datagram failed").field("reason", String.valueOf(cause)).write();
-        }
-    }
 }
