Close the listening socket before the stop is told, and answer clients accepted last

Gateway.closeListener asked for the close and completed `stopped` in the same call, so the socket went on accepting until the loop selected again. The test's choice of a port is ruled out: each fixture now listens on a loopback address of its own.

Change: ClientListener.stop removes the channel from the selector, then accepts what is queued and closes at once; the gateway stops 1 s before its last answers are due, and only after the socket is closed. A connection is not idle within 1 s of its opening unless it has had a request.

GatewayTest waits for readiness, which includes the listed upstreams.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -27,6 +27,7 @@
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
+import org.kingcuproad.policy.gateway.UploadProgress;
 
 /**
  * A client connection. Requests are served one at a time, in order; all methods are called on the connection's event
@@ -40,6 +41,9 @@
     /** Time that the client has to read the last response and close, before the connection is closed. */
     private static final long LINGER_MS = 1_000;
 
+    /** Time in which the first request of a new connection is expected; clients connect because they have one. */
+    private static final long FIRST_REQUEST_MS = 1_000;
+
     private final Gateway gateway;
     private final Channel channel;
     private final ClientLimits limits;
@@ -52,13 +56,18 @@
     private boolean closing;
     private long closingSinceMs;
     private long receivingSinceMs = -1;
+    private final long openedMs;
     private long lastActivityMs;
+    private boolean requestReceived;
+    private UploadProgress upload;
 
     ClientConnection(Gateway gateway, Channel channel, ClientLimits limits) {
         this.gateway = gateway;
         this.channel = channel;
         this.limits = limits;
-        this.lastActivityMs = gateway.clock().steadyMs();
+        this.openedMs = gateway.clock().steadyMs();
+        this.lastActivityMs = openedMs;
+        this.upload = new UploadProgress(openedMs);
     }
 
     /** Records that bytes arrived from the client, before they are decoded. */
@@ -100,6 +109,8 @@
 
     private void onHead(HttpRequest request) {
         head = request;
+        requestReceived = true;
+        upload = new UploadProgress(lastActivityMs);
         keepAlive = HttpUtil.isKeepAlive(request);
         if (request.decoderResult().isFailure()) {
             boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
@@ -137,6 +148,7 @@
             reject(ErrorKind.BODY_TOO_LARGE);
             return;
         }
+        upload.onBytes(content.content().readableBytes());
         if (content.content().isReadable()) {
             received.addComponent(true, content.content().retain());
         }
@@ -252,7 +264,9 @@
         } else if (!requestInProgress) {
             boolean headTimedOut =
                     head == null && receivingSinceMs >= 0 && nowMs - receivingSinceMs > limits.headerTimeoutMs();
-            boolean bodyTimedOut = head != null && nowMs - lastActivityMs > limits.headerTimeoutMs();
+            boolean bodyTimedOut = head != null
+                    && (nowMs - lastActivityMs > limits.headerTimeoutMs()
+                            || upload.isStalled(limits.headerTimeoutMs(), nowMs));
             if (headTimedOut || bodyTimedOut) {
                 reject(ErrorKind.REQUEST_TIMEOUT);
             } else if (head == null && receivingSinceMs < 0 && nowMs - lastActivityMs > limits.idleTimeoutMs()) {
@@ -261,9 +275,14 @@
         }
     }
 
-    /** Closes the connection if no request is in progress on it. */
-    void closeIfIdle() {
-        if (!requestInProgress && head == null && receivingSinceMs < 0) {
+    /**
+     * Closes the connection if no request is in progress on it and none is expected soon.
+     *
+     * @param nowMs current time, in milliseconds
+     */
+    void closeIfIdle(long nowMs) {
+        boolean firstRequestExpected = !requestReceived && nowMs - openedMs < FIRST_REQUEST_MS;
+        if (!requestInProgress && head == null && receivingSinceMs < 0 && !firstRequestExpected) {
             closing = true;
             channel.close();
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
@@ -8,14 +8,20 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import org.kingcuproad.policy.gateway.ClientLimits;
 
-/** Accepts client connections. */
+/**
+ * Accepts client connections.
+ *
+ * <p>Stopping takes two steps. A selector closes the socket of a registered channel only with its next selection, and
+ * closing resets the connections that wait in the accept queue. The channel is therefore removed from the selector
+ * first; then the queued connections are accepted, and the socket is closed at once.
+ */
 final class ClientListener {
 
     /**
@@ -33,22 +39,30 @@
     /** Maximum size of a body chunk in one message, the default of Netty. */
     private static final int MAX_CHUNK_BYTES = 8_192;
 
-    private ClientListener() {}
+    /** Delay after which the selector has removed a deregistered channel; any delay leads past the next selection. */
+    private static final long DEREGISTRATION_MS = 1;
+
+    private final ChannelFuture bound;
+    private boolean stopping;
+
+    private ClientListener(ChannelFuture bound) {
+        this.bound = bound;
+    }
 
     /**
-     * Binds the listening socket.
+     * Binds the listening socket. All connections belong to the event loop.
      *
      * @param limits supplies the limits that apply to a new connection
      * @param onOpen creates the handler of a new connection
      */
-    static ChannelFuture listen(
+    static ClientListener open(
             EventLoop eventLoop,
             InetSocketAddress address,
             Supplier<ClientLimits> limits,
             BiFunction<Channel, ClientLimits, ClientConnection> onOpen) {
-        return new ServerBootstrap()
+        return new ClientListener(new ServerBootstrap()
                 .group(eventLoop)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(QueueDrainingServerChannel::new)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -59,7 +73,36 @@
                         addHandlers(channel, currentLimits, onOpen.apply(channel, currentLimits));
                     }
                 })
-                .bind(address);
+                .bind(address));
+    }
+
+    /** Returns the future that completes when the address is bound, or fails if it can't be. */
+    ChannelFuture bound() {
+        return bound;
+    }
+
+    /** Stops accepting connections, after those that wait in the accept queue. Must be called on the event loop. */
+    void stop() {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        Channel channel = bound.channel();
+        channel.deregister()
+                .addListener(deregistered -> channel.eventLoop()
+                        .schedule(this::acceptQueuedAndClose, DEREGISTRATION_MS, TimeUnit.MILLISECONDS));
+    }
+
+    private void acceptQueuedAndClose() {
+        if (bound.channel() instanceof QueueDrainingServerChannel channel && channel.isOpen()) {
+            channel.acceptQueued();
+            channel.close();
+        }
+    }
+
+    /** Returns whether the listening socket is closed. */
+    boolean stopped() {
+        return stopping && !bound.channel().isOpen();
     }
 
     private static void addHandlers(Channel channel, ClientLimits limits, ClientConnection connection) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -79,6 +79,9 @@
     /** Time reserved between the last response and the end of the grace period. */
     private static final long SHUTDOWN_RESERVE_MS = 600;
 
+    /** Time in which the requests of the last accepted connections are served. */
+    private static final long LAST_REQUESTS_MS = 1_000;
+
     private GatewaySettings settings;
     private final GatewayDialect dialect;
     private final EventLoop eventLoop;
@@ -94,7 +97,8 @@
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-    private @Nullable Channel listener;
+    private @Nullable ClientListener listener;
+    private long acceptedConnections;
     private long lastSweepSteadyMs;
     private long lastSweepWallMs;
     private long drainingSinceMs = -1;
@@ -173,8 +177,10 @@
         eventLoop.execute(() -> {
             lastSweepSteadyMs = clock.steadyMs();
             lastSweepWallMs = clock.wallMs();
-            listener = stopOnBindFailure(ClientListener.listen(
-                    eventLoop, settings.clientAddress(), storeView::limits, this::createConnection));
+            ClientListener opened =
+                    ClientListener.open(eventLoop, settings.clientAddress(), storeView::limits, this::createConnection);
+            listener = opened;
+            stopOnBindFailure(opened.bound());
             stopOnBindFailure(StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness));
             logBindFailure(StatusServer.listen(
                     eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render())));
@@ -214,16 +220,16 @@
     }
 
     /** Makes the process exit on a bind failure, since it would otherwise appear to run but serve nobody. */
-    private Channel stopOnBindFailure(ChannelFuture bindFuture) {
+    private void stopOnBindFailure(ChannelFuture bindFuture) {
         bindFuture.addListener((ChannelFutureListener) future -> {
             if (!future.isSuccess()) {
                 stopped.completeExceptionally(future.cause());
             }
         });
-        return logBindFailure(bindFuture);
+        logBindFailure(bindFuture);
     }
 
-    private Channel logBindFailure(ChannelFuture bindFuture) {
+    private void logBindFailure(ChannelFuture bindFuture) {
         bindFuture.addListener((ChannelFutureListener) future -> {
             if (!future.isSuccess()) {
                 log.event("listening address can't be bound")
@@ -231,15 +237,20 @@
                         .write();
             }
         });
-        return bindFuture.channel();
     }
 
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
         ClientConnection connection = new ClientConnection(this, channel, limits);
         connections.add(connection);
+        acceptedConnections++;
         return connection;
     }
 
+    /** Returns the number of client connections accepted since the start. */
+    long acceptedConnections() {
+        return acceptedConnections;
+    }
+
     /** Opens a connection to an upstream for an attempt. */
     void connect(Upstream upstream, Attempt attempt, BiConsumer<Attempt, UpstreamConnection> onOpen) {
         metrics.count("upstream_connections_opened");
@@ -464,37 +475,35 @@
         }
     }
 
-    /** Closes the listener before the gateway stops; a client accepted later would be cut off by the process exit. */
-    private void closeListener() {
-        Channel open = listener;
-        listener = null;
-        if (open != null) {
-            open.close();
-        }
-    }
-
     private void sweepDrain(long nowMs) {
+        ClientListener open = listener;
         long drainingForMs = nowMs - drainingSinceMs;
         if (drainingForMs > BALANCER_REMOVAL_MS) {
-            List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+            List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
         }
-        boolean drained = listener == null && connections.isEmpty();
         boolean removedFromBalancer = drainingForMs > BALANCER_REMOVAL_MS && connections.isEmpty();
-        boolean graceExpired = drainingForMs > settings.drainGraceMs() - SHUTDOWN_RESERVE_MS;
-        if (removedFromBalancer || drainingForMs > MAX_DRAIN_ACCEPT_MS || graceExpired) {
-            closeListener();
+        long serviceEndMs = settings.drainGraceMs() - SHUTDOWN_RESERVE_MS;
+        if (open != null
+                && (removedFromBalancer
+                        || drainingForMs > Math.min(MAX_DRAIN_ACCEPT_MS, serviceEndMs - LAST_REQUESTS_MS))) {
+            open.stop();
         }
-        if ((drained || graceExpired) && !stopped.isDone()) {
-            List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
-            log.event("gateway stopped")
-                    .field("connections", connections.size())
-                    .field("afterMs", drainingForMs)
-                    .write();
-            configurationWatcher.close();
-            upstreamWatcher.close();
-            peerDirectory.close();
-            peerChannel.close();
-            stopped.complete(null);
+        boolean listening = open != null && !open.stopped();
+        if (!listening && (connections.isEmpty() || drainingForMs > serviceEndMs) && !stopped.isDone()) {
+            stop(drainingForMs, nowMs);
         }
     }
+
+    private void stop(long drainingForMs, long nowMs) {
+        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
+        log.event("gateway stopped")
+                .field("connections", connections.size())
+                .field("afterMs", drainingForMs)
+                .write();
+        configurationWatcher.close();
+        upstreamWatcher.close();
+        peerDirectory.close();
+        peerChannel.close();
+        stopped.complete(null);
+    }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeUpstream.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 /** Upstream that responds to each request with raw text, and can then close the connection. */
@@ -22,6 +23,7 @@
     private final Function<String, Reply> script;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final CountDownLatch disconnected = new CountDownLatch(1);
+    private final AtomicInteger connections = new AtomicInteger();
 
     FakeUpstream(Function<String, Reply> script) throws IOException {
         this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -37,6 +39,10 @@
         return requests;
     }
 
+    int connections() {
+        return connections.get();
+    }
+
     /** Returns a latch that counts down when a client closes a connection. */
     CountDownLatch disconnected() {
         return disconnected;
@@ -68,6 +74,7 @@
         try {
             while (true) {
                 Socket accepted = socket.accept();
+                connections.incrementAndGet();
                 start(() -> serve(accepted));
             }
         } catch (IOException closed) {
@@ -96,7 +103,8 @@
         }
     }
 
-    private static String read(InputStream input) throws IOException {
+    /** Reads a request, or returns an empty string at the end of the connection. */
+    static String read(InputStream input) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (!head.toString(StandardCharsets.UTF_8).endsWith("\r\n\r\n")) {
             int next = input.read();
--- /dev/null
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -0,0 +1,284 @@
+package org.kingcuproad.gateway;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.kingcuproad.policy.gateway.ClientLimits;
+import org.kingcuproad.policy.gateway.GatewayConfiguration;
+import org.kingcuproad.policy.gateway.GatewayRoute;
+import org.kingcuproad.policy.gateway.KeyOwner;
+import org.kingcuproad.policy.gateway.RouteKind;
+import org.kingcuproad.policy.gateway.ServiceConfiguration;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+import org.kingcuproad.policy.gateway.WeightedService;
+import org.kingcuproad.runtime.log.DecisionLog;
+import org.kingcuproad.runtime.log.LineSink;
+
+/**
+ * A gateway in the test's process, with fake upstreams, a fake store and a client that speaks raw HTTP.
+ *
+ * <p>Each fixture listens on a loopback address of its own, so that no other process can take one of its ports between
+ * their choice and their use.
+ */
+final class GatewayFixture implements AutoCloseable {
+
+    static final HeaderNames NAMES = new HeaderNames(
+            "X-Request",
+            "X-Deadline",
+            "X-Key",
+            "X-Workspace",
+            "X-Expect",
+            "X-Not-Run",
+            "X-Seal",
+            "X-Urgency",
+            "X-Tokens",
+            "X-Length",
+            "Last-Event-Id");
+
+    static final String SEAL = "X-Seal: s\r\n";
+
+    private static final long STORE_DELAY_MS = 500;
+
+    private final List<AutoCloseable> resources = new ArrayList<>();
+    private final List<UpstreamEntry> entries = new ArrayList<>();
+    private final String host = ownLoopbackAddress();
+    private final int port;
+    private final int readyPort;
+    private int peerPort;
+    private boolean engines;
+    private String configurationTarget = "/list";
+    private long drainGraceMs = 2_000;
+    private long headerTimeoutMs = 1_000;
+
+    GatewayFixture() throws IOException {
+        this.port = freePort();
+        this.readyPort = freePort();
+    }
+
+    private static String ownLoopbackAddress() {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        return "127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255) + "." + random.nextInt(1, 255);
+    }
+
+    private int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Lists the upstreams of the service as model engines. */
+    void useEngines() {
+        engines = true;
+    }
+
+    void setPeerPort(int newPeerPort) {
+        peerPort = newPeerPort;
+    }
+
+    /** Makes the store deliver the configuration later than the upstreams. */
+    void delayConfiguration() {
+        configurationTarget = "/late-list";
+    }
+
+    void setDrainGraceMs(long newDrainGraceMs) {
+        drainGraceMs = newDrainGraceMs;
+    }
+
+    void setHeaderTimeoutMs(long newHeaderTimeoutMs) {
+        headerTimeoutMs = newHeaderTimeoutMs;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(host, port);
+    }
+
+    /** Registers an upstream that does not exist. */
+    void addEntry(String upstreamHost, int upstreamPort) {
+        entries.add(new UpstreamEntry("u" + entries.size(), "desk", upstreamHost, upstreamPort, "dc", 4, false, 0));
+    }
+
+    FakeUpstream upstream(Function<String, FakeUpstream.Reply> script) throws IOException {
+        FakeUpstream upstream = new FakeUpstream(script);
+        resources.add(upstream);
+        addEntry("127.0.0.1", upstream.port());
+        return upstream;
+    }
+
+    /** Starts an upstream that writes its responses itself, for example without end. */
+    StreamingUpstream streamingUpstream(StreamingUpstream.Script script) throws IOException {
+        StreamingUpstream upstream = new StreamingUpstream(script);
+        resources.add(upstream);
+        addEntry("127.0.0.1", upstream.port());
+        return upstream;
+    }
+
+    private static GatewayRoute route(RouteKind kind, int attempts) {
+        return new GatewayRoute(
+                kind.name(),
+                "office.example",
+                "/" + kind.name() + "/",
+                kind,
+                2_000,
+                100,
+                attempts,
+                1,
+                false,
+                true,
+                List.of(new WeightedService("desk", 1)));
+    }
+
+    /** Creates and starts a gateway, and waits until it is ready. */
+    Gateway start() throws Exception {
+        Gateway gateway = create();
+        gateway.start();
+        awaitReady();
+        return gateway;
+    }
+
+    Gateway create() throws Exception {
+        GatewayConfiguration configuration = new GatewayConfiguration(
+                3,
+                List.of(
+                        route(RouteKind.IDEMPOTENT, 2),
+                        route(RouteKind.NON_IDEMPOTENT, 1),
+                        route(RouteKind.STREAMING, 2)),
+                Map.of("desk", new ServiceConfiguration("desk", 10, engines, 0, Optional.empty())),
+                new ClientLimits(8_192, 10_000, headerTimeoutMs, 5_000),
+                true,
+                Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
+        HttpServer store = startStore();
+        List<StoreObject<UpstreamEntry>> upstreams = entries.stream()
+                .map(entry -> new StoreObject<>(entry.id(), Optional.of(entry), ""))
+                .toList();
+        GatewaySettings settings = new GatewaySettings(
+                "g1",
+                "dc",
+                new InetSocketAddress(host, port),
+                new InetSocketAddress(host, readyPort),
+                new InetSocketAddress(host, freePort()),
+                new InetSocketAddress(peerPort == 0 ? host : "127.0.0.1", peerPort),
+                store.getAddress(),
+                true,
+                5_000,
+                drainGraceMs,
+                0.2,
+                10_000,
+                100);
+        GatewayDialect dialect = new GatewayDialect(
+                NAMES,
+                new FakeDialect<>(
+                        List.of(new StoreObject<>("main", Optional.of(configuration), "")), configurationTarget),
+                new FakeDialect<>(upstreams),
+                new FakeRegistry());
+        NioEventLoopGroup loops = new NioEventLoopGroup(1);
+        resources.add(() -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
+        LineSink sink = new LineSink(java.io.OutputStream.nullOutputStream());
+        return new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis));
+    }
+
+    private HttpServer startStore() throws IOException {
+        HttpServer store = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        store.setExecutor(Executors.newCachedThreadPool(work -> {
+            Thread thread = new Thread(work, "fake-store");
+            thread.setDaemon(true);
+            return thread;
+        }));
+        store.createContext("/list", exchange -> respond(exchange, 0));
+        store.createContext("/late-list", exchange -> respond(exchange, STORE_DELAY_MS));
+        store.createContext("/watch", exchange -> respond(exchange, STORE_DELAY_MS));
+        store.start();
+        resources.add(() -> store.stop(0));
+        return store;
+    }
+
+    private static void respond(HttpExchange exchange, long delayMs) throws IOException {
+        try {
+            Thread.sleep(delayMs);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        exchange.sendResponseHeaders(200, -1);
+        exchange.close();
+    }
+
+    /** Waits until the gateway has read the configuration and the upstreams. */
+    void awaitReady() throws Exception {
+        long endNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (System.nanoTime() < endNs) {
+            try (Socket socket = new Socket(host, readyPort)) {
+                socket.setSoTimeout(5_000);
+                socket.getOutputStream()
+                        .write("GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                                .getBytes(StandardCharsets.UTF_8));
+                if (RawResponse.read(socket.getInputStream()).status() == 200) {
+                    return;
+                }
+            } catch (IOException notListening) {
+                // The gateway is still starting.
+            }
+            Thread.sleep(20);
+        }
+        throw new AssertionError("the gateway was not ready within 10 s");
+    }
+
+    static String getRequest(String path, String key, String id) {
+        return "GET " + path + " HTTP/1.1\r\nHost: office.example\r\nX-Request: " + id + "\r\nX-Key: " + key
+                + "\r\nX-Deadline: 2000\r\nConnection: close\r\n\r\n";
+    }
+
+    static String postRequest(String path, String id, String body) {
+        return "POST " + path + " HTTP/1.1\r\nHost: office.example\r\nX-Request: " + id
+                + "\r\nX-Key: k1\r\nX-Workspace: forged\r\nX-Deadline: 2000\r\nContent-Length: "
+                + body.length() + "\r\nConnection: close\r\n\r\n" + body;
+    }
+
+    RawResponse get(String path, String key, String id) throws IOException {
+        return exchange(getRequest(path, key, id));
+    }
+
+    RawResponse post(String path, String id, String body) throws IOException {
+        return exchange(postRequest(path, id, body));
+    }
+
+    RawResponse exchange(String raw) throws IOException {
+        try (Socket socket = open()) {
+            socket.getOutputStream().write(raw.getBytes(StandardCharsets.UTF_8));
+            return RawResponse.read(socket.getInputStream());
+        }
+    }
+
+    /** Opens a client connection whose reads time out after 5 s. */
+    Socket open() throws IOException {
+        Socket socket = new Socket(host, port);
+        socket.setSoTimeout(5_000);
+        return socket;
+    }
+
+    static FakeUpstream.Reply ok(String request, String body) {
+        return new FakeUpstream.Reply(
+                FakeUpstream.response(FakeUpstream.header(request, "X-Request"), 200, SEAL, body), false);
+    }
+
+    @Override
+    public void close() throws Exception {
+        for (AutoCloseable closeable : resources.reversed()) {
+            closeable.close();
+        }
+    }
+}
