Bound what an upstream in trouble may send, and tell slow streams from stalled ones

Change: at most 16 informational heads, 256 KB of foreign answers, 64 KB of a body that is read only to keep the connection, 256 KB an event; a success without a seal is given up at its head. Attempts whose client has left end 250 ms after their deadline. Only events that are new to the client count as progress; a stream may take twice its own longest interval; while the client does not read, nothing is held against the upstream. A connection returns to the pool when the read that ended the answer is complete.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -10,6 +10,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.EventStreamParser;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.StreamEvent;
@@ -25,6 +26,9 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
+    /** Maximum size of a body that is read only to use the connection again. */
+    private static final long MAX_DISCARDED_BYTES = 64 << 10;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     private enum ResponseMode {
@@ -50,6 +54,9 @@
     private boolean ended;
     private boolean detached;
     private long lastEventMs;
+    private long longestIntervalMs;
+    private long discardedBytes;
+    private boolean readingPaused;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
         this.dispatcher = dispatcher;
@@ -75,17 +82,9 @@
         return sentMs;
     }
 
-    /** Returns the time of the last event, or the time of sending before the first event, in milliseconds. */
-    long lastEventMs() {
-        return lastEventMs;
-    }
-
-    /**
-     * Returns whether a part of the response has arrived that counts as its start: the first event of a stream, or the
-     * head of any other response.
-     */
-    boolean responseStarted() {
-        return responseStarted;
+    /** Returns the progress so far, from which a stalled request is told from a slow one. */
+    AttemptProgress progress() {
+        return new AttemptProgress(responseStarted, sentMs, lastEventMs, longestIntervalMs, readingPaused);
     }
 
     boolean ended() {
@@ -100,6 +99,10 @@
     void setAutoRead(boolean autoRead) {
         UpstreamConnection current = connection;
         if (current != null && !ended) {
+            if (readingPaused && autoRead) {
+                lastEventMs = dispatcher.nowMs();
+            }
+            readingPaused = !autoRead;
             current.setAutoRead(autoRead);
         }
     }
@@ -107,11 +110,8 @@
     /** Cancels the attempt by closing its connection, so that the upstream stops working on the request. */
     void cancel() {
         if (!ended) {
-            UpstreamConnection current = connection;
             end();
-            if (current != null) {
-                current.close();
-            }
+            closeConnection();
         }
     }
 
@@ -137,6 +137,12 @@
         } else if (exchange.headSent() && status.codeClass() != HttpStatusClass.SUCCESS) {
             discardOutcome = new AttemptOutcome.Lost("status " + status.code() + " when resuming the stream");
         }
+        if (discardOutcome instanceof AttemptOutcome.Lost lost && !detached) {
+            // Nothing that follows can be used, and an upstream in trouble may send it without end.
+            closeConnection();
+            onFailure(lost.reason());
+            return;
+        }
         if (discardOutcome != null || detached) {
             mode = ResponseMode.DISCARDED;
             return;
@@ -159,8 +165,9 @@
         switch (mode) {
             case BUFFERED -> buffer(bytes);
             case FORWARDED -> exchange.connection().sendContent(bytes.retain());
-            case EVENTS -> onEvents(parser.feed(ByteBufUtil.getBytes(bytes)));
-            case AWAITING_HEAD, DISCARDED -> {}
+            case EVENTS -> onEventBytes(bytes);
+            case DISCARDED -> discard(bytes.readableBytes());
+            case AWAITING_HEAD -> {}
         }
         if (mode == ResponseMode.FORWARDED || mode == ResponseMode.EVENTS) {
             setAutoRead(exchange.connection().writable());
@@ -177,18 +184,49 @@
         }
     }
 
-    private void onEvents(List<StreamEvent> events) {
-        if (events.isEmpty()) {
-            return;
+    private void discard(int bytes) {
+        AttemptOutcome outcome = discardOutcome;
+        discardedBytes += bytes;
+        if (discardedBytes > MAX_DISCARDED_BYTES && outcome != null && !ended) {
+            closeConnection();
+            end();
+            dispatcher.onOutcome(this, outcome);
+        }
+    }
+
+    private void onEventBytes(ByteBuf bytes) {
+        onEvents(parser.feed(ByteBufUtil.getBytes(bytes)));
+        if (parser.exceedsMaxSize()) {
+            closeConnection();
+            onFailure("event without end");
         }
+    }
+
+    private void closeConnection() {
+        UpstreamConnection current = connection;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    private void recordProgress(List<StreamEvent> events) {
         long nowMs = dispatcher.nowMs();
         if (exchange.headSent()) {
             dispatcher.onEventInterval((double) (nowMs - lastEventMs) / events.size());
         }
+        if (responseStarted) {
+            longestIntervalMs = Math.max(longestIntervalMs, nowMs - lastEventMs);
+        }
         lastEventMs = nowMs;
-        exchange.onProgress(lastEventMs);
+        exchange.onProgress(nowMs);
         markResponseStarted();
-        dispatcher.onEvent(lastEventMs);
+        dispatcher.onEvent(nowMs);
+    }
+
+    private void onEvents(List<StreamEvent> events) {
+        if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
+            recordProgress(events);
+        }
         for (StreamEvent event : events) {
             if (event.id() != StreamEvent.NO_ID && event.id() <= exchange.lastEventId()) {
                 continue;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -39,6 +39,9 @@
      */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_000;
 
+    /** Time after its deadline in which an upstream responds to a request whose client has left. */
+    private static final long DETACHED_GRACE_MS = 250;
+
     private final Gateway gateway;
     private boolean engine;
     private int tokensPerEvent;
@@ -46,6 +49,7 @@
     private List<Upstream> upstreamList = List.of();
     private final RequestQueue<Exchange> queue = new RequestQueue<>(Exchange::schedulingAttributes);
     private final Set<Attempt> activeAttempts = new HashSet<>();
+    private final Set<Attempt> detachedAttempts = new HashSet<>();
     private final WindowedRetryBudget budget;
     private final ServiceStatistics statistics = new ServiceStatistics();
     private int rotation;
@@ -400,6 +404,7 @@
             activeAttempts.remove(attempt);
             if (exchange.route().kind() == RouteKind.NON_IDEMPOTENT) {
                 attempt.detach();
+                detachedAttempts.add(attempt);
             } else {
                 attempt.cancel();
             }
@@ -420,10 +425,22 @@
         for (Attempt attempt : new ArrayList<>(activeAttempts)) {
             sweep(attempt, nowMs);
         }
+        sweepDetached(nowMs);
         upstreams.values().forEach(upstream -> upstream.closeExpiredConnections(nowMs));
         dispatch();
     }
 
+    /** Ends the attempts that nobody waits for when the upstream has had the time that it was given. */
+    private void sweepDetached(long nowMs) {
+        detachedAttempts.removeIf(Attempt::ended);
+        List.copyOf(detachedAttempts).stream()
+                .filter(attempt -> nowMs >= attempt.exchange().deadlineMs() + DETACHED_GRACE_MS)
+                .forEach(attempt -> {
+                    detachedAttempts.remove(attempt);
+                    attempt.cancel();
+                });
+    }
+
     private void sweep(Attempt attempt, long nowMs) {
         Exchange exchange = attempt.exchange();
         if (attempt.ended()) {
@@ -435,13 +452,7 @@
             } else {
                 gateway.endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline", -1);
             }
-        } else if (RetryPolicy.isStalled(
-                        exchange.route(),
-                        attempt.responseStarted(),
-                        attempt.sentMs(),
-                        attempt.lastEventMs(),
-                        statistics,
-                        nowMs)
+        } else if (RetryPolicy.isStalled(exchange.route(), attempt.progress(), statistics, nowMs)
                 && RetryPolicy.mayRetry(exchange.route(), exchange.sends(), true, exchange.deadlineMs() - nowMs)) {
             attempt.cancel();
             onOutcome(attempt, new AttemptOutcome.Lost("response stalled"));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -17,8 +17,8 @@
  * A connection to an upstream, with at most one request in progress.
  *
  * <p>An upstream may send the response to an earlier request late, in place of the next response. Such a response is
- * recognised by its request id and skipped. Bytes that arrive while no request is in progress cause the connection to
- * be closed.
+ * recognised by its request id and skipped. Bytes that arrive while no request is in progress, also those that follow a
+ * response in the same read, cause the connection to be closed.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -28,6 +28,12 @@
     /** Fraction of the upstream's idle timeout for which a connection is reused; the rest allows for network delays. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.8;
 
+    /** Maximum number of informational responses to a request; an upstream in trouble may send them without end. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
+    /** Maximum size of the responses to other requests that are skipped while one request is in progress. */
+    private static final long MAX_SKIPPED_BYTES = 256 << 10;
+
     private static final String KEEP_ALIVE = "Keep-Alive";
     private static final long MS_PER_SECOND = 1_000;
 
@@ -40,6 +46,9 @@
     private boolean reused;
     private boolean skipping;
     private boolean closeAfterResponse;
+    private boolean responseRead;
+    private int informationalResponses;
+    private long skippedBytes;
     private long idleSinceMs;
     private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
 
@@ -74,6 +83,8 @@
         }
         attempt = next;
         skipping = false;
+        informationalResponses = 0;
+        skippedBytes = 0;
         current.config().setAutoRead(true);
         requestWrite = current.writeAndFlush(request);
     }
@@ -102,6 +113,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
             if (attempt == null) {
+                responseRead = false;
                 context.close();
                 return;
             }
@@ -127,6 +139,10 @@
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skipping = true;
+            informationalResponses++;
+            if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+                fail("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses");
+            }
             return;
         }
         String id = response.headers().get(requestIdHeader);
@@ -172,9 +188,7 @@
             return;
         }
         if (skipping) {
-            if (content instanceof LastHttpContent) {
-                skipping = false;
-            }
+            skip(content);
             return;
         }
         if (content.content().isReadable()) {
@@ -182,11 +196,29 @@
         }
         if (content instanceof LastHttpContent && attempt == current) {
             attempt = null;
-            returnToPool();
+            responseRead = true;
             current.onEnd();
         }
     }
 
+    private void skip(HttpContent content) {
+        skippedBytes += content.content().readableBytes();
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+            fail("more than " + MAX_SKIPPED_BYTES + " bytes of responses to other requests");
+        } else if (content instanceof LastHttpContent) {
+            skipping = false;
+        }
+    }
+
+    /** Returns the connection to the pool when all bytes that arrived with the end of the response have been seen. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (responseRead) {
+            responseRead = false;
+            returnToPool();
+        }
+    }
+
     private void returnToPool() {
         ChannelFuture writeFuture = requestWrite;
         // The rest of a request that is not yet fully written would be sent on this connection before the next request.
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
@@ -15,6 +15,9 @@
     /** Initial buffer size. Typical events have about 70 bytes, and several may arrive together. */
     private static final int INITIAL_BYTES = 512;
 
+    /** Maximum size of an event. An upstream in trouble may send bytes without end, which must not fill the memory. */
+    private static final int MAX_EVENT_BYTES = 256 << 10;
+
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
 
@@ -55,6 +58,15 @@
         return length > 0;
     }
 
+    /**
+     * Returns whether the incomplete event is larger than any event may be.
+     *
+     * @return {@code true} if the stream must be given up
+     */
+    public boolean exceedsMaxSize() {
+        return length > MAX_EVENT_BYTES;
+    }
+
     private boolean endsBlankLine(int index, int start) {
         return (index - 1 >= start && pending[index - 1] == '\n')
                 || (index - 2 >= start && pending[index - 1] == '\r' && pending[index - 2] == '\n');
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
@@ -18,6 +18,9 @@
     /** Maximum interval between events of a stream that the load of other streams of the service can account for. */
     private static final long MAX_EVENT_INTERVAL_MS = 450;
 
+    /** Multiple of a stream's own longest interval up to which it counts as slow rather than stalled. */
+    private static final long SLOW_STREAM_FACTOR = 2;
+
     /**
      * Fraction of the timeout of an idempotent route after which a response counts as lost even if other responses are
      * slow too.
@@ -44,37 +47,39 @@
     }
 
     /**
-     * Returns whether a request is stalled at its upstream while the service as a whole makes progress.
+     * Returns whether a request is stalled at its upstream while the service as a whole makes progress. A stream whose
+     * events are far apart is not stalled, nor is one that is not read because its client is slow.
      *
      * @param route route of the request
-     * @param responseStarted whether a part of the response has arrived
-     * @param sentMs time at which the request was sent, in milliseconds
-     * @param lastEventMs time of the last event, in milliseconds
+     * @param progress progress of the request
      * @param statistics statistics of the service
      * @param nowMs current time, in milliseconds
      * @return {@code true} if another upstream would probably respond sooner
      */
     public static boolean isStalled(
-            GatewayRoute route,
-            boolean responseStarted,
-            long sentMs,
-            long lastEventMs,
-            ServiceStatistics statistics,
-            long nowMs) {
+            GatewayRoute route, AttemptProgress progress, ServiceStatistics statistics, long nowMs) {
+        if (progress.readingPaused()) {
+            return false;
+        }
         double stallMs = STALL_FACTOR * statistics.timeToFirstResponseMs();
+        long waitingMs = nowMs - progress.sentMs();
         return switch (route.kind()) {
             case NON_IDEMPOTENT -> false;
             case IDEMPOTENT ->
-                !responseStarted
-                        && nowMs - sentMs
+                !progress.responseStarted()
+                        && waitingMs
                                 > Math.max(
                                         route.latencyGoalMs(),
                                         Math.min(stallMs, IDEMPOTENT_STALL_FRACTION * route.timeoutMs()));
             case STREAMING ->
                 statistics.hasProgressed(PROGRESS_WINDOW_MS, nowMs)
-                        && (responseStarted
-                                ? nowMs - lastEventMs > MAX_EVENT_INTERVAL_MS
-                                : nowMs - sentMs > Math.max(MIN_FIRST_EVENT_STALL_MS, stallMs));
+                        && (progress.responseStarted()
+                                ? nowMs - progress.lastEventMs() > maxEventIntervalMs(progress)
+                                : waitingMs > Math.max(MIN_FIRST_EVENT_STALL_MS, stallMs));
         };
     }
+
+    private static long maxEventIntervalMs(AttemptProgress progress) {
+        return Math.max(MAX_EVENT_INTERVAL_MS, SLOW_STREAM_FACTOR * progress.longestIntervalMs());
+    }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
@@ -56,4 +56,27 @@
         assertThat(parser.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"))).hasSize(1);
         assertThat(parser.hasPartialEvent()).isTrue();
     }
+
+    /** Guards against collecting an event without end; the limit is far above the size of any event. */
+    @Test
+    void reportsAnEventWithoutEnd() {
+        EventStreamParser parser = new EventStreamParser();
+        byte[] part = new byte[64 << 10];
+        Arrays.fill(part, (byte) 'x');
+
+        assertThat(parser.feed(part)).isEmpty();
+        assertThat(parser.exceedsMaxSize()).isFalse();
+        for (int count = 0; count < 4; count++) {
+            parser.feed(part);
+        }
+        assertThat(parser.exceedsMaxSize()).isTrue();
+    }
+
+    /** Guards against taking comments and repeated events for progress of a stream. */
+    @Test
+    void tellsEventsThatAdvanceAStream() {
+        List<StreamEvent> events = new EventStreamParser().feed(bytes(": c\n\nid: 3\ndata: a\n\ndata: b\n\nid: 4\n\n"));
+
+        assertThat(events.stream().map(event -> event.advances(3)).toList()).containsExactly(false, false, true, true);
+    }
 }
