--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -1,10 +1,14 @@
 package org.kingcuproad.ctl;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
 import java.io.PrintStream;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.kingcuproad.model.KingcuproadException;
+import org.kingcuproad.runtime.cli.CommandLine;
+import org.kingcuproad.runtime.cli.ParsedCommandLine;
 
 /** Entry point of the {@code kingcuproadctl} binary. */
 public final class KingcuproadctlMain {
@@ -32,26 +36,18 @@
      * @return the exit code
      */
     static ExitCode run(List<Command> commands, String[] arguments, PrintStream out, PrintStream err) {
-        JCommander parser = new JCommander(new Object());
-        parser.setProgramName(PROGRAM);
-        commands.forEach(command -> parser.addCommand(command.name(), command));
-        try {
-            parser.parse(arguments);
-        } catch (ParameterException failure) {
-            err.println(PROGRAM + ": " + failure.getMessage());
-            return ExitCode.USAGE;
-        }
-        String chosen = parser.getParsedCommand();
-        if (chosen == null) {
-            out.println("usage: " + PROGRAM + " COMMAND [OPTIONS]");
-            commands.forEach(command -> out.println("  " + command.name()));
-            return ExitCode.USAGE;
-        }
-        return commands.stream()
-                .filter(command -> command.name().equals(chosen))
-                .findFirst()
-                .map(command -> runCommand(command, out, err))
-                .orElse(ExitCode.USAGE);
+        Map<String, Command> byName = commands.stream().collect(Collectors.toMap(Command::name, Function.identity()));
+        return switch (new CommandLine(PROGRAM, byName).parse(arguments)) {
+            case ParsedCommandLine.Help help -> {
+                out.println(help.text());
+                yield ExitCode.SUCCESS;
+            }
+            case ParsedCommandLine.Mistake mistake -> {
+                err.println(mistake.message());
+                yield ExitCode.USAGE;
+            }
+            case ParsedCommandLine.Run run -> runCommand(Objects.requireNonNull(byName.get(run.command())), out, err);
+        };
     }
 
     private static ExitCode runCommand(Command command, PrintStream out, PrintStream err) {
--- a/kingcuproad-daemon/src/main/java/org/kingcuproad/daemon/KingcuproadMain.java
+++ b/kingcuproad-daemon/src/main/java/org/kingcuproad/daemon/KingcuproadMain.java
@@ -1,9 +1,13 @@
 package org.kingcuproad.daemon;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
-import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.kingcuproad.model.KingcuproadException;
+import org.kingcuproad.runtime.cli.CommandLine;
+import org.kingcuproad.runtime.cli.ParsedCommandLine;
 
 /** Entry point of the {@code kingcuproad} binary. */
 public final class KingcuproadMain {
@@ -20,21 +24,16 @@
      * @param arguments command line
      */
     public static void main(String[] arguments) {
-        List<DaemonCommand> commands = List.of(new EntryCommand(), new AgentCommand());
-        JCommander parser = new JCommander(new Object());
-        parser.setProgramName(PROGRAM);
-        commands.forEach(command -> parser.addCommand(command.name(), command));
-        try {
-            parser.parse(arguments);
-        } catch (ParameterException failure) {
-            exit(EXIT_USAGE, String.valueOf(failure.getMessage()));
+        Map<String, DaemonCommand> commands = Stream.of(new EntryCommand(), new AgentCommand())
+                .collect(Collectors.toMap(DaemonCommand::name, Function.identity()));
+        switch (new CommandLine(PROGRAM, commands).parse(arguments)) {
+            case ParsedCommandLine.Help help -> System.out.println(help.text());
+            case ParsedCommandLine.Mistake mistake -> {
+                System.err.println(mistake.message());
+                System.exit(EXIT_USAGE);
+            }
+            case ParsedCommandLine.Run run -> run(Objects.requireNonNull(commands.get(run.command())));
         }
-        commands.stream()
-                .filter(command -> command.name().equals(parser.getParsedCommand()))
-                .findFirst()
-                .ifPresentOrElse(
-                        KingcuproadMain::run,
-                        () -> exit(EXIT_USAGE, "usage: " + PROGRAM + " entry|agent --settings FILE"));
     }
 
     private static void run(DaemonCommand command) {
--- a/scripts/local-system.sh
+++ b/scripts/local-system.sh
@@ -2,7 +2,8 @@
 # processes on loopback and stop exactly these again when the script ends.
 . scripts/select-jdk.sh
 if [ ! -f kingcuproad-daemon/target/kingcuproad.jar ] || [ ! -f kingcuproad-ctl/target/kingcuproadctl.jar ]; then
-  mvn -q -B -ntp -DskipTests package
+  echo "building the two programs" >&2
+  mvn -q -B -ntp -T 1C -Pwithout-linter -Dmaven.test.skip=true -pl kingcuproad-daemon,kingcuproad-ctl -am package
 fi
 work=$(mktemp -d)
 pids=()
