--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpRequest;
@@ -180,9 +178,10 @@
             ClientListener opened =
                     ClientListener.open(eventLoop, settings.clientAddress(), storeView::limits, this::createConnection);
             listener = opened;
-            stopOnBindFailure(opened.bound());
-            stopOnBindFailure(StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness));
-            logBindFailure(StatusServer.listen(
+            BindFailureReporter bindFailures = new BindFailureReporter(log, stopped);
+            bindFailures.stopOnFailure(opened.bound());
+            bindFailures.stopOnFailure(StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness));
+            bindFailures.logFailure(StatusServer.listen(
                     eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render())));
             peerChannel.open(eventLoop, settings.peerAddress());
             configurationWatcher.start();
@@ -219,26 +218,6 @@
         });
     }
 
-    /** Makes the process exit on a bind failure, since it would otherwise appear to run but serve nobody. */
-    private void stopOnBindFailure(ChannelFuture bindFuture) {
-        bindFuture.addListener((ChannelFutureListener) future -> {
-            if (!future.isSuccess()) {
-                stopped.completeExceptionally(future.cause());
-            }
-        });
-        logBindFailure(bindFuture);
-    }
-
-    private void logBindFailure(ChannelFuture bindFuture) {
-        bindFuture.addListener((ChannelFutureListener) future -> {
-            if (!future.isSuccess()) {
-                log.event("listening address can't be bound")
-                        .field("reason", String.valueOf(future.cause()))
-                        .write();
-            }
-        });
-    }
-
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
         ClientConnection connection = new ClientConnection(this, channel, limits);
         connections.add(connection);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -1,9 +1,11 @@
 package org.kingcuproad.gateway.rank;
 
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -25,6 +27,7 @@
 import org.kingcuproad.policy.lockstep.PassDurationEstimator;
 import org.kingcuproad.policy.lockstep.PlanningInput;
 import org.kingcuproad.policy.lockstep.RankState;
+import org.kingcuproad.policy.lockstep.SampleInterval;
 import org.kingcuproad.policy.lockstep.SwitchAction;
 import org.kingcuproad.runtime.log.DecisionLog;
 import org.kingcuproad.runtime.log.LogEvent;
@@ -180,9 +183,20 @@
         }
     }
 
-    /** Returns whether the agent of a rank can be relied on to pass on messages. */
-    boolean reportedRecently(int rank, long nowMs) {
-        return nowMs - lastReportMs.getOrDefault(rank, Long.MIN_VALUE / 2) <= RELIABLE_AGE_MS;
+    /**
+     * Returns the agents that sum the samples of others for rank 0. They are chosen among those that report regularly,
+     * in the order of their ranks, so that the selection seldom changes.
+     */
+    List<InetSocketAddress> collectors(Map<Integer, InetSocketAddress> agentsByRank, long nowMs) {
+        if (ownRank != 0) {
+            return List.of();
+        }
+        return IntStream.range(MapSwitchProtocol.HOLD_RANK + 1, ranks)
+                .filter(rank -> nowMs - lastReportMs.getOrDefault(rank, Long.MIN_VALUE / 2) <= RELIABLE_AGE_MS)
+                .mapToObj(agentsByRank::get)
+                .filter(Objects::nonNull)
+                .limit(SampleInterval.collectors(ranks))
+                .toList();
     }
 
     /** Returns the ranks whose agents have been silent for so long that this agent calls their engines directly. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -8,10 +8,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.IntStream;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.gateway.Clock;
 import org.kingcuproad.gateway.ProcessMetrics;
@@ -21,11 +20,8 @@
 import org.kingcuproad.gateway.StoreDialect;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
-import org.kingcuproad.policy.lockstep.ChoiceAccumulator;
-import org.kingcuproad.policy.lockstep.ChoiceSample;
 import org.kingcuproad.policy.lockstep.DesiredRankState;
 import org.kingcuproad.policy.lockstep.EngineOrder;
-import org.kingcuproad.policy.lockstep.MapDelta;
 import org.kingcuproad.policy.lockstep.MapSwitchProtocol;
 import org.kingcuproad.policy.lockstep.RankState;
 import org.kingcuproad.policy.lockstep.SampleInterval;
@@ -58,15 +54,6 @@
     /** Maximum number of engines of other ranks called in one round; sending maps to more would fill the link. */
     private static final int MAX_REMOTE_ENGINES = 4;
 
-    /**
-     * Time after which ranks that still lack a map get it whole. An agent that has restarted does not know the base of
-     * the difference.
-     */
-    private static final long WHOLE_MAP_DELAY_MS = 400;
-
-    /** Agents that get a whole map in one round, so that it takes a fraction of the link. */
-    private static final int MAX_WHOLE_MAPS = 2;
-
     /** Number of coordinating ranks: rank 0 decides on changes, rank 1 releases the hold if rank 0 has failed. */
     private static final int COORDINATOR_RANKS = 2;
 
@@ -84,9 +71,8 @@
     private final GroupDirectory directory;
     private final SlowdownNotifier slowdownNotifier = new SlowdownNotifier(this::sendBytes);
     private final Map<Integer, InetSocketAddress> agentsByRank = new HashMap<>();
-    private final KnownMaps knownMaps = new KnownMaps();
-    private final ChoiceAccumulator collected = new ChoiceAccumulator();
-    private List<InetSocketAddress> collectors = List.of();
+    private final DesiredStateReceiver desiredStateReceiver = new DesiredStateReceiver(this::send);
+    private final SampleRelay sampleRelay;
     private final RemoteEngines remoteEngines;
     private final EngineOrderSender orderSender;
     private final EngineOrderSender holdOrderSender;
@@ -98,11 +84,9 @@
     private long heldExpertsSentMs = Long.MIN_VALUE / 2;
     private @Nullable RankState lastSentState;
     private long stateSentMs = Long.MIN_VALUE / 2;
-    private final DesiredStateBroadcaster broadcaster = new DesiredStateBroadcaster(this::send);
+    private final DesiredStateAnnouncer announcer = new DesiredStateAnnouncer(this::send);
     private @Nullable DesiredRankState desiredState;
     private long desiredEpoch;
-    private boolean holdRankWasIncluded;
-    private long lastSampleMs = Long.MIN_VALUE / 2;
     private final ReportScheduler reportScheduler;
     private double slowdown = 1;
     private boolean reportInProgress;
@@ -133,10 +117,12 @@
         this.clock = clock;
         this.log = log;
         this.reportScheduler = new ReportScheduler(eventLoop, clock, this::readReport);
-        this.transport = new RankMessageTransport(log, this::onMessage, this::onSubscription);
+        this.transport = new RankMessageTransport(
+                log, this::onMessage, gateway -> slowdownNotifier.onSubscription(gateway, clock.steadyMs()));
         this.replyReader = new ReplyReader(log);
         this.reportConnection = new SerialHttpConnection(eventLoop, settings.engineAddress());
         this.expertReader = new ExpertReader(dialect, replyReader, eventLoop, settings.engineAddress());
+        this.sampleRelay = new SampleRelay(settings.agentAddress(), expertReader, clock, this::send);
         this.remoteEngines = new RemoteEngines(dialect, eventLoop, clock, log, metrics);
         this.directory =
                 new GroupDirectory(settings, upstreamDialect, configurationDialect, eventLoop, this::coordinates, log);
@@ -202,8 +188,7 @@
     }
 
     private void updateReportSchedule() {
-        RankState current = state;
-        reportScheduler.update(changeInProgress(), current != null && current.rank() < COORDINATOR_RANKS);
+        reportScheduler.update(changeInProgress(), coordinates());
     }
 
     private void readReport() {
@@ -236,32 +221,28 @@
             group = membership.group();
             coordinator = null;
             expertReader.reset();
-            knownMaps.clear();
-            collectors = List.of();
-            collected.clear();
+            desiredStateReceiver.reset();
+            sampleRelay.reset();
         }
         RankState current = report.state(clock.steadyMs()).orElseThrow();
         state = current;
         slowdown = report.slowdown();
         slowdownNotifier.send(slowdown, clock.steadyMs());
         if (expertReader.heldExperts(current).isEmpty()) {
-            expertReader.readHeldExperts(current.epoch(), this::onHeldExperts);
+            expertReader.readHeldExperts(current.epoch(), () -> onHeldExperts(current));
         }
         publishState(current);
         sendNextOrder();
         updateReportSchedule();
     }
 
-    private void onHeldExperts() {
+    private void onHeldExperts(RankState current) {
         heldExpertsSentMs = Long.MIN_VALUE / 2;
-        RankState current = state;
-        if (current != null) {
-            directory
-                    .shape()
-                    .ifPresent(shape -> expertReader
-                            .heldExperts(current)
-                            .ifPresent(held -> knownMaps.addInitial(shape, ranks, current.rank(), held)));
-        }
+        expertReader
+                .heldExperts(current)
+                .ifPresent(held -> directory
+                        .shape()
+                        .ifPresent(shape -> desiredStateReceiver.onHeldExperts(shape, ranks, current.rank(), held)));
     }
 
     private void publishState(RankState current) {
@@ -344,19 +325,15 @@
         for (SwitchAction action : mapCoordinator.nextActions(own, clock.steadyMs())) {
             switch (action) {
                 case SwitchAction.Hold hold ->
-                    holdRankSender()
-                            .ifPresent(sender ->
-                                    sender.send(new EngineOrder.Hold(hold.step()), own.epoch(), accepted -> {
-                                        mapCoordinator.onHold(hold.step(), accepted, clock.steadyMs());
-                                        readReport();
-                                    }));
+                    orderHoldRank(
+                            new EngineOrder.Hold(hold.step()),
+                            own,
+                            accepted -> mapCoordinator.onHold(hold.step(), accepted, clock.steadyMs()));
                 case SwitchAction.Release release ->
-                    holdRankSender()
-                            .ifPresent(sender ->
-                                    sender.send(new EngineOrder.Release(release.step()), own.epoch(), accepted -> {
-                                        mapCoordinator.onRelease(release.step(), accepted, clock.steadyMs());
-                                        readReport();
-                                    }));
+                    orderHoldRank(
+                            new EngineOrder.Release(release.step()),
+                            own,
+                            accepted -> mapCoordinator.onRelease(release.step(), accepted, clock.steadyMs()));
                 case SwitchAction.SetDesiredState announcement ->
                     announce(mapCoordinator, groupName, own.epoch(), announcement.desired());
             }
@@ -373,12 +350,15 @@
                 .forEach(rank -> callRemoteEngine(rank, mapCoordinator));
     }
 
-    /** Returns the sender of hold and release orders to the engine at which passes are held. */
-    private Optional<EngineOrderSender> holdRankSender() {
-        RankState own = state;
-        return own != null && own.rank() == MapSwitchProtocol.HOLD_RANK
+    /** Sends an order to the engine at which passes are held, and reads the state of the own engine after it. */
+    private void orderHoldRank(EngineOrder order, RankState own, Consumer<Boolean> onAnswer) {
+        Optional<EngineOrderSender> sender = own.rank() == MapSwitchProtocol.HOLD_RANK
                 ? Optional.of(holdOrderSender)
                 : remoteEngine(MapSwitchProtocol.HOLD_RANK).map(RemoteEngine::orderSender);
+        sender.ifPresent(holdSender -> holdSender.send(order, own.epoch(), accepted -> {
+            onAnswer.accept(accepted);
+            readReport();
+        }));
     }
 
     private void callRemoteEngine(int rank, MapCoordinator mapCoordinator) {
@@ -396,53 +376,18 @@
     }
 
     private Optional<RemoteEngine> remoteEngine(int rank) {
-        return Optional.ofNullable(agentsByRank.get(rank))
-                .flatMap(directory::engineOf)
-                .map(address -> remoteEngines.of(rank, address));
+        Optional<InetSocketAddress> agent = Optional.ofNullable(agentsByRank.get(rank));
+        return agent.flatMap(directory::engineOf).map(address -> remoteEngines.of(rank, address));
     }
 
     private void announce(MapCoordinator mapCoordinator, String groupName, long epoch, DesiredRankState desired) {
-        long nowMs = clock.steadyMs();
-        boolean holdRankIncluded = mapCoordinator.appliesTo(desired, MapSwitchProtocol.HOLD_RANK, nowMs);
-        boolean holdRankNewlyIncluded = holdRankIncluded && !holdRankWasIncluded;
-        holdRankWasIncluded = holdRankIncluded;
-        if (holdRankNewlyIncluded || broadcaster.due(desired, nowMs)) {
-            int ownRank = Optional.ofNullable(state).map(RankState::rank).orElse(0);
-            List<InetSocketAddress> receivers = agentsByRank.entrySet().stream()
-                    .filter(agent -> agent.getKey() != ownRank)
-                    .filter(agent -> holdRankIncluded || agent.getKey() != MapSwitchProtocol.HOLD_RANK)
-                    .filter(agent -> mapCoordinator.pending(agent.getKey(), desired))
-                    .map(Map.Entry::getValue)
-                    .toList();
-            Optional<MapDelta> delta = mapCoordinator.deltaTo(desired);
-            boolean wholeMap = delta.isEmpty() || broadcaster.ageMs(desired, nowMs) >= WHOLE_MAP_DELAY_MS;
-            broadcaster.broadcast(desired, desiredMessage(groupName, epoch, desired, delta), receivers, nowMs);
-            if (delta.isPresent() && wholeMap) {
-                RankMessage whole = new RankMessage.DesiredState(groupName, epoch, desired, List.of());
-                receivers.stream().limit(MAX_WHOLE_MAPS).forEach(receiver -> send(whole, receiver));
-            }
-        }
+        int ownRank = Optional.ofNullable(state).map(RankState::rank).orElse(0);
+        announcer.announce(mapCoordinator, groupName, epoch, desired, ownRank, agentsByRank, clock.steadyMs());
         onDesiredState(epoch, desired);
     }
 
-    private static RankMessage.Forwarded desiredMessage(
-            String groupName, long epoch, DesiredRankState desired, Optional<MapDelta> delta) {
-        return delta.<RankMessage.Forwarded>map(difference -> new RankMessage.DesiredMap(
-                        groupName,
-                        epoch,
-                        desired instanceof DesiredRankState.Cleared,
-                        desired.version(),
-                        difference,
-                        List.of()))
-                .orElseGet(() -> new RankMessage.DesiredState(groupName, epoch, desired, List.of()));
-    }
-
     private void onDesiredState(long epoch, DesiredRankState desired) {
-        switch (desired) {
-            case DesiredRankState.Prepared prepared -> knownMaps.add(prepared.version(), prepared.map());
-            case DesiredRankState.Cleared cleared -> knownMaps.add(cleared.version(), cleared.map());
-            case DesiredRankState.Armed armed -> {}
-        }
+        desiredStateReceiver.remember(desired);
         desiredState = desired;
         desiredEpoch = epoch;
         reportScheduler.onDesiredState();
@@ -453,10 +398,10 @@
     private void sendNextOrder() {
         RankState current = state;
         DesiredRankState desired = desiredState;
+        MapCoordinator mapCoordinator = coordinator;
         if (current == null || desired == null || current.epoch() != desiredEpoch) {
             return;
         }
-        MapCoordinator mapCoordinator = coordinator;
         boolean applies = current.rank() != 0
                 || (mapCoordinator == null
                         ? !(desired instanceof DesiredRankState.Armed)
@@ -476,64 +421,23 @@
     private void sampleIfDue() {
         RankState current = state;
         String groupName = group;
-        long nowMs = clock.steadyMs();
-        long intervalMs = directory
-                .shape()
-                .map(shape -> SampleInterval.intervalMs(shape, ranks, settings.linkMbps()))
-                .orElse(Long.MAX_VALUE);
-        if (current != null
-                && groupName != null
-                && nowMs - lastSampleMs >= intervalMs
-                && expertReader.sample(sample -> onSample(groupName, current.rank(), sample))) {
-            lastSampleMs = nowMs;
-            if (current.rank() != 0) {
-                sendCollected(groupName);
-            }
-        }
-    }
-
-    private void onSample(String groupName, int rank, ChoiceSample sample) {
-        MapCoordinator mapCoordinator = coordinator;
-        if (rank == 0 && mapCoordinator != null) {
-            mapCoordinator.onChoices(sample, clock.steadyMs());
-            return;
-        }
-        InetSocketAddress receiver =
-                collectors.isEmpty() ? agentsByRank.get(0) : collectors.get(rank % collectors.size());
-        if (settings.agentAddress().equals(receiver)) {
-            collected.add(sample);
-        } else if (receiver != null) {
-            send(new RankMessage.Choices(groupName, sample), receiver);
-        }
-    }
-
-    /** Sends the sum of the samples that this agent has collected from others. */
-    private void sendCollected(String groupName) {
-        InetSocketAddress coordinatorAddress = agentsByRank.get(0);
-        if (coordinatorAddress != null) {
-            collected.pack().ifPresent(sum -> send(new RankMessage.Choices(groupName, sum), coordinatorAddress));
+        if (current != null && groupName != null) {
+            directory
+                    .shape()
+                    .map(shape -> SampleInterval.intervalMs(shape, ranks, settings.linkMbps()))
+                    .ifPresent(intervalMs -> sampleRelay.sampleIfDue(
+                            groupName, current.rank(), intervalMs, coordinator, agentsByRank.get(0)));
         }
     }
 
-    /** Returns agents that report regularly, in the order of their ranks, so that the selection seldom changes. */
-    private List<InetSocketAddress> selectCollectors(MapCoordinator mapCoordinator) {
-        long nowMs = clock.steadyMs();
-        return IntStream.range(COORDINATOR_RANKS, ranks)
-                .filter(rank -> mapCoordinator.reportedRecently(rank, nowMs))
-                .mapToObj(agentsByRank::get)
-                .filter(Objects::nonNull)
-                .limit(SampleInterval.collectors(ranks))
-                .toList();
-    }
-
     private void sendHello() {
         RankState current = state;
         String groupName = group;
-        if (current != null && groupName != null && current.rank() < COORDINATOR_RANKS) {
-            MapCoordinator mapCoordinator = coordinator;
-            List<InetSocketAddress> selected =
-                    current.rank() == 0 && mapCoordinator != null ? selectCollectors(mapCoordinator) : List.of();
-            RankMessage hello = new RankMessage.Hello(groupName, current.rank(), current.epoch(), selected);
+        if (current != null && groupName != null && coordinates()) {
+            List<InetSocketAddress> collectors = Optional.ofNullable(coordinator)
+                    .map(mapCoordinator -> mapCoordinator.collectors(agentsByRank, clock.steadyMs()))
+                    .orElse(List.of());
+            RankMessage hello = new RankMessage.Hello(groupName, current.rank(), current.epoch(), collectors);
             directory.peers().forEach(peer -> send(hello, peer));
         }
     }
@@ -546,10 +450,6 @@
         transport.sendBytes(bytes, address);
     }
 
-    private void onSubscription(InetSocketAddress gateway) {
-        slowdownNotifier.onSubscription(gateway, clock.steadyMs());
-    }
-
     private void onMessage(RankMessage message, InetSocketAddress sender) {
         RankState current = state;
         if (current == null || !message.group().equals(group)) {
@@ -560,7 +460,9 @@
             case RankMessage.Hello hello -> {
                 if (hello.epoch() == current.epoch()) {
                     agentsByRank.put(hello.rank(), sender);
-                    collectors = hello.rank() == 0 ? hello.collectors() : collectors;
+                    if (hello.rank() == 0) {
+                        sampleRelay.setCollectors(hello.collectors());
+                    }
                 }
             }
             case RankMessage.State peerState -> {
@@ -581,34 +483,17 @@
             }
             case RankMessage.Choices choices -> {
                 if (current.rank() != 0) {
-                    collected.add(choices.sample());
+                    sampleRelay.collect(choices.sample());
                 } else if (mapCoordinator != null) {
                     mapCoordinator.onChoices(choices.sample(), clock.steadyMs());
                 }
             }
-            case RankMessage.DesiredState received -> {
-                forward(received);
-                onReceivedState(received.epoch(), received.desired());
-            }
-            case RankMessage.DesiredMap received -> {
-                forward(received);
-                if (received.epoch() == current.epoch()) {
-                    knownMaps
-                            .get(received.delta().baseVersion())
-                            .ifPresent(base -> onReceivedState(received.epoch(), received.resolve(base)));
-                }
-            }
-        }
-    }
-
-    private void forward(RankMessage.Forwarded message) {
-        message.forwardTo().forEach(receiver -> send(message.withForwardTo(List.of()), receiver));
-    }
-
-    private void onReceivedState(long epoch, DesiredRankState desired) {
-        MapCoordinator mapCoordinator = coordinator;
-        if (mapCoordinator == null || !mapCoordinator.changeInProgress()) {
-            onDesiredState(epoch, desired);
+            case RankMessage.Forwarded received ->
+                desiredStateReceiver.receive(received, current.epoch()).ifPresent(desired -> {
+                    if (mapCoordinator == null || !mapCoordinator.changeInProgress()) {
+                        onDesiredState(received.epoch(), desired);
+                    }
+                });
         }
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankMessage.java
@@ -47,10 +47,26 @@
     /** Message that a receiver forwards to other agents, so that the sender's link carries it only a few times. */
     sealed interface Forwarded extends RankMessage {
 
-        /** Returns the agents to which the receiver forwards the message. */
+        /**
+         * Returns the formation number of the group to which the message applies.
+         *
+         * @return the epoch
+         */
+        long epoch();
+
+        /**
+         * Returns the agents to which the receiver forwards the message.
+         *
+         * @return addresses of the agents
+         */
         List<InetSocketAddress> forwardTo();
 
-        /** Returns a copy that is forwarded to other agents. */
+        /**
+         * Returns a copy that is forwarded to other agents.
+         *
+         * @param receivers addresses of the agents
+         * @return the copy
+         */
         Forwarded withForwardTo(List<InetSocketAddress> receivers);
     }
 
