Keep the map in use among the known maps while changes are given up

Cause: an agent kept the three newest maps. After three changes in a row that were given up, the map in use was no longer among them, and each difference had to be replaced by whole maps, two ranks a round: ten seconds for 129 ranks.

Change: the map in use is kept besides the three newest.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/DesiredStateReceiver.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/DesiredStateReceiver.java
@@ -28,10 +28,10 @@
     }
 
     /** Records the map of a desired state, to which later differences may refer. */
-    void remember(DesiredRankState desired) {
+    void remember(DesiredRankState desired, long inUseVersion) {
         switch (desired) {
-            case DesiredRankState.Prepared prepared -> knownMaps.add(prepared.version(), prepared.map());
-            case DesiredRankState.Cleared cleared -> knownMaps.add(cleared.version(), cleared.map());
+            case DesiredRankState.Prepared prepared -> knownMaps.add(prepared.version(), prepared.map(), inUseVersion);
+            case DesiredRankState.Cleared cleared -> knownMaps.add(cleared.version(), cleared.map(), inUseVersion);
             case DesiredRankState.Armed armed -> {}
         }
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/KnownMaps.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/KnownMaps.java
@@ -13,8 +13,8 @@
     /** Version of the map with which a newly formed group starts. */
     private static final long INITIAL_VERSION = 0;
 
-    /** The map in use, the one that is being prepared, and one that was given up meanwhile. */
-    private static final int MAX_MAPS = 3;
+    /** Number of the newest maps that are kept besides the one in use: one being prepared, and some given up. */
+    private static final int MAX_NEWER_MAPS = 3;
 
     private final TreeMap<Long, ExpertPlacement> byVersion = new TreeMap<>();
 
@@ -23,11 +23,19 @@
         byVersion.clear();
     }
 
-    /** Records a map. Versions only rise, so the lowest is the first that is no longer needed. */
-    void add(long version, ExpertPlacement map) {
+    /**
+     * Records a map. The map in use is kept however many changes are given up, since differences refer to it.
+     *
+     * @param inUseVersion version of the map in use
+     */
+    void add(long version, ExpertPlacement map, long inUseVersion) {
         byVersion.put(version, map);
-        if (byVersion.size() > MAX_MAPS) {
-            byVersion.pollFirstEntry();
+        while (byVersion.headMap(version, true).size() > MAX_NEWER_MAPS + 1) {
+            Long oldest = byVersion.keySet().stream()
+                    .filter(candidate -> candidate != inUseVersion)
+                    .findFirst()
+                    .orElse(version);
+            byVersion.remove(oldest);
         }
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -387,7 +387,8 @@
     }
 
     private void onDesiredState(long epoch, DesiredRankState desired) {
-        desiredStateReceiver.remember(desired);
+        desiredStateReceiver.remember(
+                desired, Optional.ofNullable(state).map(RankState::mapVersion).orElse(RankState.NONE));
         desiredState = desired;
         desiredEpoch = epoch;
         reportScheduler.onDesiredState();
