--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -42,7 +42,7 @@
     private static final long PLAN_INTERVAL_MS = 200;
 
     /** Multiple of the time that a plan takes after which the next one may begin; others need the processor too. */
-    private static final long PLAN_PAUSE_FACTOR = 3;
+    private static final long PLAN_PAUSE_FACTOR = 1;
 
     /** Fraction of the longest accepted pause up to which passes are far from late. */
     private static final double RELAXED_PAUSE_FRACTION = 5.0 / 12;
@@ -316,7 +316,11 @@
     private void onDecision(MapChangeDecision decision, long nowMs) {
         switch (decision) {
             case MapChangeDecision.Change change -> {
-                if (protocol.mayBegin(nowMs)) {
+                if (!protocol.mayBegin(nowMs)) {
+                    // The ranks are usually ready again soon, and the demand that called for the change persists.
+                    nextPlanMs = nowMs + PLAN_INTERVAL_MS;
+                    logDecision("map change dropped", change.estimate(), nowMs).write();
+                } else {
                     long version =
                             protocol.newVersion(ThreadLocalRandom.current().nextInt());
                     logDecision("map change planned", change.estimate(), nowMs)
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/MapChangePlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/MapChangePlanner.java
@@ -38,6 +38,12 @@
     /** Copying time of one rank below which plans with fewer copies a rank would not be ready noticeably sooner. */
     private static final double SHORT_COPYING_MS = 100;
 
+    /** Divisor from one number of copies a rank to the next that is compared. */
+    private static final int COPY_LIMIT_DIVISOR = 4;
+
+    /** Fraction of a pattern's lifetime above which copying is not worth planning. */
+    private static final double MAX_COPYING_FRACTION = 0.5;
+
     /** Minimum time of use that is assumed when the worth of a single copy is computed. */
     private static final double MIN_USE_MS = 300;
 
@@ -80,16 +86,21 @@
     }
 
     /**
-     * Numbers of copies a rank that are compared: all that the group allows, and halves of it while copying is long.
+     * Numbers of copies a rank that are compared: all that the group allows, and quarters of it while copying is long.
+     * Numbers whose copying would take most of the pattern's lifetime are left out, since each costs the time of a
+     * plan.
      */
     private List<Integer> copyLimits() {
+        double copyMs = shape.costs().copyMs();
         List<Integer> limits = new ArrayList<>();
         int limit = shape.sets() * shape.maxNewExpertsPerChange();
-        limits.add(limit);
-        while (limit > 1 && limit * shape.costs().copyMs() > SHORT_COPYING_MS) {
-            limit /= 2;
-            limits.add(limit);
+        while (limit > 1 && limit * copyMs > SHORT_COPYING_MS) {
+            if (limit * copyMs < MAX_COPYING_FRACTION * input.lifetimeMs()) {
+                limits.add(limit);
+            }
+            limit = Math.max(1, limit / COPY_LIMIT_DIVISOR);
         }
+        limits.add(limit);
         return limits;
     }
 
