Log prompt parts of lost attempts, and tell crashed upstreams from cut connections

The logs name upstream and request of a lost attempt, but not what the requests had in common, nor whether the upstream crashed or only closed the connection because its group was stalled.

Change: "attempt failed" has the shared prompt parts, whether the response had begun, the last event and the requests in progress at the upstream. When an upstream closes a connection with a request in progress, one new connection is opened to it. If it is refused, "upstream crashed" is logged with the parts of all requests lost there; if not, the connection is kept for later requests, since the idle ones were closed anyway. Routing, retries and answers are unchanged.

Figures: UpstreamCrashDetectorTest, SharedPromptPartsTest, GatewayTest, LateResponseTest and StreamProgressTest pass.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -87,6 +87,10 @@
         return new AttemptProgress(responseStarted, sentMs, lastEventMs, longestIntervalMs, readingPaused);
     }
 
+    boolean responseStarted() {
+        return responseStarted;
+    }
+
     boolean ended() {
         return ended;
     }
@@ -272,7 +276,7 @@
         if (discarded != null) {
             dispatcher.onOutcome(this, discarded);
         } else if (partialEvent) {
-            dispatcher.onOutcome(this, new AttemptOutcome.Lost("stream ended before a complete event"));
+            dispatcher.onOutcome(this, new AttemptOutcome.Lost("stream ended before a complete event", true));
         } else if (mode == ResponseMode.BUFFERED && response != null) {
             BufferedResponse bufferedResponse = new BufferedResponse(response, buffered.toByteArray());
             if (response.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
@@ -289,12 +293,22 @@
     }
 
     void onFailure(String reason) {
+        fail(reason, false);
+    }
+
+    /** Records that the connection ended without an action of this gateway. */
+    void onDisconnected(String reason) {
+        fail(reason, true);
+    }
+
+    private void fail(String reason, boolean disconnected) {
         if (ended) {
             return;
         }
         end();
         if (!detached) {
-            dispatcher.onOutcome(this, written ? new AttemptOutcome.Lost(reason) : new AttemptOutcome.NotSent(reason));
+            dispatcher.onOutcome(
+                    this, written ? new AttemptOutcome.Lost(reason, disconnected) : new AttemptOutcome.NotSent(reason));
         }
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
@@ -16,8 +16,17 @@
      */
     record NotRun(String reason, boolean replaced) implements AttemptOutcome {}
 
-    /** The request may have run, but its response was lost or can't be used. */
-    record Lost(String reason) implements AttemptOutcome {}
+    /**
+     * The request may have run, but its response was lost or can't be used.
+     *
+     * @param disconnected whether the connection ended without an action of this gateway
+     */
+    record Lost(String reason, boolean disconnected) implements AttemptOutcome {
+
+        Lost(String reason) {
+            this(reason, false);
+        }
+    }
 
     /** The upstream responded with a server error; the response is kept and delivered if no other attempt succeeds. */
     record Failed(BufferedResponse response, String reason) implements AttemptOutcome {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.GatewayRoute;
@@ -43,6 +44,7 @@
     private final int priority;
     private final double promptTokens;
     private final double outputTokens;
+    private final List<String> promptParts;
     private final long deadlineMs;
     private final Set<String> triedUpstreams = new HashSet<>();
     private int sends;
@@ -63,22 +65,21 @@
             ByteBuf body,
             String requestId,
             long arrivedMs,
-            RoutingDecision decision,
-            double promptTokens,
-            double outputTokens,
-            long timeAllowedMs) {
+            RequestRouter.Routed routed) {
         this.connection = connection;
         this.head = head;
         this.body = body;
         this.requestId = requestId;
         this.arrivedMs = arrivedMs;
+        RoutingDecision decision = routed.decision();
         this.route = decision.route();
         this.service = decision.service();
         this.workspace = decision.workspace();
         this.priority = decision.priority();
-        this.promptTokens = promptTokens;
-        this.outputTokens = outputTokens;
-        this.deadlineMs = arrivedMs + timeAllowedMs;
+        this.promptTokens = routed.promptTokens();
+        this.outputTokens = routed.outputTokens();
+        this.promptParts = routed.promptParts();
+        this.deadlineMs = arrivedMs + routed.timeAllowedMs();
         this.lastEventId = StreamEvent.NO_ID;
     }
 
@@ -124,6 +125,11 @@
         return outputTokens;
     }
 
+    /** Returns the ids of the prompt parts that other requests may have too. */
+    List<String> promptParts() {
+        return promptParts;
+    }
+
     double promptTokens() {
         return promptTokens;
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -92,6 +92,7 @@
     private final PeerChannel peerChannel;
     private final PeerDirectory peerDirectory;
     private final ProcessMetrics metrics = new ProcessMetrics();
+    private final UpstreamCrashDetector crashDetector;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -137,6 +138,9 @@
                 UPSTREAMS_WATCH_MS);
         this.peerChannel = new PeerChannel(log, settings.name(), peerLoads, this::onSlowdown, clock);
         this.peerDirectory = new PeerDirectory(eventLoop, dialect.gateways(), settings, peerLoads, clock, log);
+        this.crashDetector = new UpstreamCrashDetector(
+                (upstream, result) -> UpstreamConnector.probe(eventLoop, clock, names().requestId(), upstream, result),
+                this::onUpstreamCrash);
     }
 
     /**
@@ -257,6 +261,20 @@
         return log;
     }
 
+    UpstreamCrashDetector crashDetector() {
+        return crashDetector;
+    }
+
+    private void onUpstreamCrash(Upstream upstream, List<List<String>> prompts) {
+        metrics.count("upstream_crashes");
+        log.event("upstream crashed")
+                .field("upstream", upstream.entry().id())
+                .field("startedMs", upstream.entry().startedMs())
+                .field("lostRequests", prompts.size())
+                .field("prompts", prompts.toString())
+                .write();
+    }
+
     PeerLoads peerLoads() {
         return peerLoads;
     }
@@ -341,15 +359,7 @@
             }
             case RequestRouter.Routed routed -> {
                 Exchange exchange = new Exchange(
-                        connection,
-                        head,
-                        body,
-                        Optional.ofNullable(requestId).orElse(""),
-                        clock.steadyMs(),
-                        routed.decision(),
-                        routed.promptTokens(),
-                        routed.outputTokens(),
-                        routed.timeAllowedMs());
+                        connection, head, body, Optional.ofNullable(requestId).orElse(""), clock.steadyMs(), routed);
                 connection.setExchange(exchange);
                 dispatcher(routed.decision().service()).submit(exchange);
             }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/HeaderNames.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/HeaderNames.java
@@ -12,6 +12,8 @@
  * @param seal proof that the response was made by the upstream itself
  * @param urgency priority in the upstream's own queue, 0 is the highest
  * @param tokenCount number of prompt tokens and maximum number of output tokens, separated by a comma
+ * @param promptParts parts of the prompt in order, as {@code id:tokens} separated by commas; the last one belongs to
+ *     the request alone
  * @param lengthHint the client's estimate of the number of output tokens
  * @param lastEventId id of the last event that the client has received
  */
@@ -25,5 +27,6 @@
         String seal,
         String urgency,
         String tokenCount,
+        String promptParts,
         String lengthHint,
         String lastEventId) {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
@@ -10,6 +11,7 @@
 import org.kingcuproad.policy.gateway.GatewayRoute;
 import org.kingcuproad.policy.gateway.KeyOwner;
 import org.kingcuproad.policy.gateway.RouteTable;
+import org.kingcuproad.policy.gateway.SharedPromptParts;
 
 /** Routes a request to a service and authenticates its API key, or determines why it is refused. */
 final class RequestRouter {
@@ -31,9 +33,15 @@
      * @param decision where the request is sent
      * @param promptTokens number of prompt tokens, 0 if there is no prompt
      * @param outputTokens number of output tokens that the client expects, 0 if it does not say
+     * @param promptParts ids of the prompt parts that other requests may have too
      * @param timeAllowedMs how long the client waits for the complete response, in milliseconds
      */
-    record Routed(RoutingDecision decision, double promptTokens, double outputTokens, long timeAllowedMs)
+    record Routed(
+            RoutingDecision decision,
+            double promptTokens,
+            double outputTokens,
+            List<String> promptParts,
+            long timeAllowedMs)
             implements Result {}
 
     /**
@@ -105,7 +113,8 @@
         RoutingDecision decision = new RoutingDecision(
                 route, route.selectService(draw), owner == null ? null : owner.workspace(), priority);
         double outputTokens = parseNumber(head.headers().get(names.lengthHint()), 0);
-        return new Routed(decision, promptTokens, outputTokens, timeAllowedMs);
+        List<String> promptParts = SharedPromptParts.parse(head.headers().get(names.promptParts()));
+        return new Routed(decision, promptTokens, outputTokens, promptParts, timeAllowedMs);
     }
 
     private static long parseNumber(@Nullable String text, long defaultValue) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -309,6 +309,10 @@
                 .field("outcome", outcome.getClass().getSimpleName())
                 .field("reason", outcome.reason())
                 .field("sentForMs", nowMs - attempt.sentMs())
+                .field("responseStarted", attempt.responseStarted())
+                .field("lastEvent", exchange.lastEventId())
+                .field("inFlight", attempt.upstream().inFlight())
+                .field("prompt", String.join(",", exchange.promptParts()))
                 .field("again", retry)
                 .write();
         if (retry) {
@@ -338,6 +342,9 @@
                 exchange.setMayHaveRun();
                 recordFailure(upstream, outcome, nowMs);
                 upstream.closeIdleConnections();
+                if (lost.disconnected()) {
+                    gateway.crashDetector().onDisconnected(upstream, exchange.promptParts());
+                }
             }
             case AttemptOutcome.Failed failed -> {
                 exchange.setMayHaveRun();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -22,6 +22,7 @@
     private double pendingPrefillTokens;
     private boolean removed;
     private boolean replaced;
+    private boolean crashed;
     private double slowdown = 1;
     private long slowdownReportedMs;
 
@@ -43,6 +44,14 @@
         closeIdleConnections();
     }
 
+    boolean crashed() {
+        return crashed;
+    }
+
+    void setCrashed() {
+        crashed = true;
+    }
+
     UpstreamHealth health() {
         return health;
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -246,12 +246,27 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         upstream.onConnectionClosed(this);
-        fail("connection closed by the upstream");
+        onDisconnected("connection closed by the upstream");
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(String.valueOf(cause));
+        onDisconnected(String.valueOf(cause));
         context.close();
     }
+
+    private void onDisconnected(String reason) {
+        Attempt current = attempt;
+        attempt = null;
+        close();
+        if (current != null) {
+            current.onDisconnected(reason);
+        }
+    }
+
+    /** Puts a connection that was opened without a request into the pool. */
+    void makeAvailable() {
+        idleSinceMs = clock.steadyMs();
+        upstream.addIdleConnection(this);
+    }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -9,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 /** Opens connections to upstreams. */
 final class UpstreamConnector {
@@ -27,7 +29,35 @@
             Attempt attempt,
             BiConsumer<Attempt, UpstreamConnection> onOpen) {
         UpstreamConnection connection = new UpstreamConnection(upstream, clock, requestIdHeader);
-        new Bootstrap()
+        open(eventLoop, upstream, connection).addListener((ChannelFutureListener) future -> {
+            if (future.isSuccess()) {
+                onOpen.accept(attempt, connection);
+            } else {
+                attempt.onFailure("connection failed: " + future.cause());
+            }
+        });
+    }
+
+    /**
+     * Opens a connection without a request, to find out whether the upstream listens. It is kept for later requests.
+     */
+    static void probe(
+            EventLoop eventLoop,
+            Clock clock,
+            String requestIdHeader,
+            Upstream upstream,
+            Consumer<ProbeResult> onResult) {
+        UpstreamConnection connection = new UpstreamConnection(upstream, clock, requestIdHeader);
+        open(eventLoop, upstream, connection).addListener((ChannelFutureListener) future -> {
+            if (future.isSuccess()) {
+                connection.makeAvailable();
+            }
+            onResult.accept(ProbeResult.of(future.cause()));
+        });
+    }
+
+    private static ChannelFuture open(EventLoop eventLoop, Upstream upstream, UpstreamConnection connection) {
+        return new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -38,13 +68,6 @@
                         channel.pipeline().addLast(new HttpClientCodec(), connection);
                     }
                 })
-                .connect(upstream.entry().host(), upstream.entry().port())
-                .addListener((ChannelFutureListener) future -> {
-                    if (future.isSuccess()) {
-                        onOpen.accept(attempt, connection);
-                    } else {
-                        attempt.onFailure("connection failed: " + future.cause());
-                    }
-                });
+                .connect(upstream.entry().host(), upstream.entry().port());
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -48,6 +48,7 @@
             "X-Seal",
             "X-Urgency",
             "X-Tokens",
+            "X-Parts",
             "X-Length",
             "Last-Event-Id");
 
--- /dev/null
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -0,0 +1,55 @@
+package org.kingcuproad.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.kingcuproad.policy.gateway.UpstreamEntry;
+
+/** Guards against taking a rank that cuts its requests because its group is stalled for one that has crashed. */
+class UpstreamCrashDetectorTest {
+
+    private final Upstream upstream = new Upstream(new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0));
+    private final List<Consumer<ProbeResult>> probes = new ArrayList<>();
+    private final List<List<List<String>>> crashes = new ArrayList<>();
+    private final UpstreamCrashDetector detector = new UpstreamCrashDetector(
+            (probed, result) -> probes.add(result), (crashed, prompts) -> crashes.add(prompts));
+
+    @Test
+    void reportsAllRequestsLostWithACrashAfterOneProbe() {
+        detector.onDisconnected(upstream, List.of("a"));
+        detector.onDisconnected(upstream, List.of("b", "c"));
+        assertThat(probes).hasSize(1);
+
+        probes.getFirst().accept(ProbeResult.REFUSED);
+        detector.onDisconnected(upstream, List.of("d"));
+
+        assertThat(crashes).containsExactly(List.of(List.of("a"), List.of("b", "c")), List.of(List.of("d")));
+        assertThat(probes).hasSize(1);
+    }
+
+    @Test
+    void reportsNoCrashOfAnUpstreamThatListensOrDoesNotRespond() {
+        detector.onDisconnected(upstream, List.of("a"));
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        detector.onDisconnected(upstream, List.of("a"));
+        probes.get(1).accept(ProbeResult.UNKNOWN);
+
+        assertThat(crashes).isEmpty();
+    }
+
+    @Test
+    void takesOnlyARefusedConnectionForACrash() {
+        assertThat(ProbeResult.of(null)).isEqualTo(ProbeResult.LISTENING);
+        assertThat(ProbeResult.of(new ConnectException("Connection refused: /127.0.0.1:1")))
+                .isEqualTo(ProbeResult.REFUSED);
+        assertThat(ProbeResult.of(new ConnectTimeoutException("connection timed out")))
+                .isEqualTo(ProbeResult.UNKNOWN);
+        assertThat(ProbeResult.of(new SocketException("Network unreachable"))).isEqualTo(ProbeResult.UNKNOWN);
+    }
+}
