Add a failing test: a prompt part crashes one upstream after the other

PromptCrashTest sends 20 requests with a part that crashes every upstream that begins to answer them, between sound requests with the same first part.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -129,6 +129,14 @@
         return upstream;
     }
 
+    /** Starts an upstream that crashes when it begins to answer a request with a certain prompt part. */
+    CrashingUpstream crashingUpstream(String fatalPart) throws IOException {
+        CrashingUpstream upstream = new CrashingUpstream(fatalPart);
+        resources.add(upstream);
+        addEntry("127.0.0.1", upstream.port());
+        return upstream;
+    }
+
     private static GatewayRoute route(RouteKind kind, int attempts) {
         return new GatewayRoute(
                 kind.name(),
--- /dev/null
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/PromptCrashTest.java
@@ -0,0 +1,71 @@
+package org.kingcuproad.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against sending requests with a prompt part that crashes upstreams to one upstream after the other. */
+class PromptCrashTest {
+
+    private static final String FATAL_PART = "bad";
+    private static final int UPSTREAMS = 12;
+
+    /** Crashes after which the platform allows no more than three requests with the part. */
+    private static final int TOLERATED_CRASHES = 5;
+
+    private static final int TOLERATED_REQUESTS = 3;
+
+    private final GatewayFixture fixture;
+    private final List<CrashingUpstream> upstreams = new ArrayList<>();
+
+    PromptCrashTest() throws IOException {
+        fixture = new GatewayFixture();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        fixture.close();
+    }
+
+    private RawResponse stream(String id, String parts) throws IOException {
+        return fixture.exchange("POST /STREAMING/draft HTTP/1.1\r\nHost: office.example\r\nX-Request: " + id
+                + "\r\nX-Key: k1\r\n" + "X-Parts: " + parts
+                + "\r\nX-Deadline: 2000\r\nContent-Length: 1\r\nConnection: close\r\n\r\np");
+    }
+
+    @Test
+    void stopsSendingAPromptPartOnWhichUpstreamsCrashed() throws Exception {
+        for (int index = 0; index < UPSTREAMS; index++) {
+            upstreams.add(fixture.crashingUpstream(FATAL_PART));
+        }
+        fixture.start();
+        for (int index = 0; index < 30; index++) {
+            assertThat(stream("warm" + index, "first:40,own" + index + ":10").body())
+                    .contains("id: 3");
+        }
+
+        List<String> sound = new ArrayList<>();
+        List<Integer> refusedStatuses = new ArrayList<>();
+        for (int index = 0; index < 20; index++) {
+            RawResponse fatal = stream("fatal" + index, "first:40," + FATAL_PART + ":20,session" + index + ":10");
+            refusedStatuses.add(fatal.status());
+            sound.add(stream("sound" + index, "first:40,other" + index + ":10").body());
+        }
+
+        long crashes = upstreams.stream().filter(CrashingUpstream::crashed).count();
+        long sent =
+                upstreams.stream().mapToLong(CrashingUpstream::fatalRequests).sum();
+        assertThat(crashes).as("crashed upstreams").isLessThanOrEqualTo(TOLERATED_CRASHES);
+        assertThat(sent)
+                .as("requests with the part that reached an upstream")
+                .isLessThanOrEqualTo(TOLERATED_CRASHES + TOLERATED_REQUESTS);
+        assertThat(sound).as("answers to requests with the same first part").allMatch(body -> body.contains("id: 3"));
+        assertThat(refusedStatuses.getLast())
+                .as("status that says that the request has not run")
+                .isEqualTo(503);
+    }
+}
