Split the gateway's shutdown and the set of upstreams into types of their own

ShutdownSequence decides about the stages of a planned stop with the time as an argument; UpstreamPool holds the upstreams of a service.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -68,18 +68,6 @@
      */
     private static final int RETRY_SLACK_DIVISOR = 20;
 
-    /** The load balancer checks readiness every second and removes a gateway after two failed checks. */
-    private static final long BALANCER_REMOVAL_MS = 2_300;
-
-    /** Maximum time after the start of draining for which new connections are accepted. */
-    private static final long MAX_DRAIN_ACCEPT_MS = 4_000;
-
-    /** Time reserved between the last response and the end of the grace period. */
-    private static final long SHUTDOWN_RESERVE_MS = 600;
-
-    /** Time in which the requests of the last accepted connections are served. */
-    private static final long LAST_REQUESTS_MS = 1_000;
-
     private GatewaySettings settings;
     private final GatewayDialect dialect;
     private final EventLoop eventLoop;
@@ -100,7 +88,7 @@
     private long acceptedConnections;
     private long lastSweepSteadyMs;
     private long lastSweepWallMs;
-    private long drainingSinceMs = -1;
+    private final ShutdownSequence shutdown = new ShutdownSequence();
     private boolean lastReady;
 
     /**
@@ -213,8 +201,8 @@
     /** Starts a graceful shutdown: reports not ready, finishes open requests and stops within the grace period. */
     public void drain() {
         eventLoop.execute(() -> {
-            if (drainingSinceMs < 0) {
-                drainingSinceMs = clock.steadyMs();
+            if (!draining()) {
+                shutdown.start(clock.steadyMs());
                 log.event("gateway draining")
                         .field("connections", connections.size())
                         .write();
@@ -280,7 +268,7 @@
     }
 
     boolean draining() {
-        return drainingSinceMs >= 0;
+        return shutdown.started();
     }
 
     private boolean ready() {
@@ -459,27 +447,22 @@
                     .field("leaving", draining())
                     .write();
         }
-        if (draining()) {
-            sweepDrain(nowMs);
+        if (draining() && !stopped.isDone()) {
+            continueShutdown(nowMs);
         }
     }
 
-    private void sweepDrain(long nowMs) {
+    private void continueShutdown(long nowMs) {
         ClientListener open = listener;
-        long drainingForMs = nowMs - drainingSinceMs;
-        if (drainingForMs > BALANCER_REMOVAL_MS) {
+        if (shutdown.closesIdleConnections(nowMs)) {
             List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
         }
-        boolean removedFromBalancer = drainingForMs > BALANCER_REMOVAL_MS && connections.isEmpty();
-        long serviceEndMs = settings.drainGraceMs() - SHUTDOWN_RESERVE_MS;
-        if (open != null
-                && (removedFromBalancer
-                        || drainingForMs > Math.min(MAX_DRAIN_ACCEPT_MS, serviceEndMs - LAST_REQUESTS_MS))) {
+        if (open != null && shutdown.stopsListening(connections.size(), settings.drainGraceMs(), nowMs)) {
             open.stop();
         }
         boolean listening = open != null && !open.stopped();
-        if (!listening && (connections.isEmpty() || drainingForMs > serviceEndMs) && !stopped.isDone()) {
-            stop(drainingForMs, nowMs);
+        if (!listening && shutdown.isComplete(connections.size(), settings.drainGraceMs(), nowMs)) {
+            stop(shutdown.durationMs(nowMs), nowMs);
         }
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -4,10 +4,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -45,8 +43,7 @@
     private final Gateway gateway;
     private boolean engine;
     private int tokensPerEvent;
-    private final Map<String, Upstream> upstreams = new HashMap<>();
-    private List<Upstream> upstreamList = List.of();
+    private final UpstreamPool upstreams = new UpstreamPool();
     private final RequestQueue<Exchange> queue = new RequestQueue<>(Exchange::schedulingAttributes);
     private final Set<Attempt> activeAttempts = new HashSet<>();
     private final Set<Attempt> detachedAttempts = new HashSet<>();
@@ -69,7 +66,7 @@
     }
 
     Collection<Upstream> upstreams() {
-        return upstreams.values();
+        return upstreams.all();
     }
 
     int queued() {
@@ -78,27 +75,7 @@
 
     /** Replaces the set of upstreams. Requests in progress at removed upstreams continue. */
     void update(List<UpstreamEntry> entries) {
-        Set<String> present = new HashSet<>();
-        for (UpstreamEntry entry : entries) {
-            present.add(entry.id());
-            Upstream existing = upstreams.get(entry.id());
-            boolean restarted = existing != null && existing.entry().startedMs() != entry.startedMs();
-            boolean moved = existing != null
-                    && !(existing.entry().host().equals(entry.host())
-                            && existing.entry().port() == entry.port());
-            if (existing == null || restarted || moved) {
-                if (existing != null) {
-                    existing.remove();
-                }
-                upstreams.put(entry.id(), new Upstream(entry));
-            } else {
-                existing.setEntry(entry);
-            }
-        }
-        List<String> missing =
-                upstreams.keySet().stream().filter(id -> !present.contains(id)).toList();
-        missing.forEach(id -> Optional.ofNullable(upstreams.remove(id)).ifPresent(Upstream::remove));
-        upstreamList = List.copyOf(upstreams.values());
+        upstreams.update(entries);
         dispatch();
     }
 
@@ -116,8 +93,7 @@
     void submit(Exchange exchange) {
         long nowMs = nowMs();
         budget.onRequest(nowMs);
-        boolean anyUsable = upstreamList.stream().anyMatch(Upstream::usable);
-        if (!anyUsable) {
+        if (!upstreams.anyUsable()) {
             refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is available");
             return;
         }
@@ -178,7 +154,7 @@
                     queue.add(exchange);
                     return;
                 }
-                send(exchange, upstreamList.get(index.getAsInt()), nowMs);
+                send(exchange, upstreams.list().get(index.getAsInt()), nowMs);
             }
         } finally {
             dispatching = false;
@@ -186,7 +162,7 @@
     }
 
     private OptionalInt selectUpstream(Exchange exchange, long nowMs) {
-        List<UpstreamCandidate> candidates = upstreamList.stream()
+        List<UpstreamCandidate> candidates = upstreams.list().stream()
                 .map(upstream -> candidate(upstream, exchange, nowMs))
                 .toList();
         return LeastCostSelector.select(candidates, engine, rotation++);
@@ -366,11 +342,10 @@
     private boolean mayRetry(Exchange exchange, AttemptOutcome outcome, long nowMs) {
         boolean retryAllowed = RetryPolicy.mayRetry(
                 exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs);
-        boolean hasCandidate = upstreamList.stream()
-                .anyMatch(
-                        other -> other.usable() && !exchange.tried(other.entry().id()));
         // A request that reached no upstream caused no load, so its retry does not count against the budget.
-        return retryAllowed && hasCandidate && (outcome instanceof AttemptOutcome.NotSent || budget.tryAcquire(nowMs));
+        return retryAllowed
+                && upstreams.anyUntried(exchange)
+                && (outcome instanceof AttemptOutcome.NotSent || budget.tryAcquire(nowMs));
     }
 
     private void endWithoutResponse(Exchange exchange, Attempt attempt, AttemptOutcome outcome) {
@@ -433,7 +408,7 @@
             sweep(attempt, nowMs);
         }
         sweepDetached(nowMs);
-        upstreams.values().forEach(upstream -> upstream.closeExpiredConnections(nowMs));
+        upstreams.closeExpiredConnections(nowMs);
         dispatch();
     }
 
@@ -468,7 +443,7 @@
 
     /** Closes the idle connections to all upstreams, for example because the VM was suspended. */
     void closeIdleConnections() {
-        upstreams.values().forEach(Upstream::closeIdleConnections);
+        upstreams.closeIdleConnections();
     }
 
     boolean engine() {
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
@@ -0,0 +1,59 @@
+package org.kingcuproad.gateway;
+
+/** Decides when a gateway that shuts down gracefully closes idle connections, stops listening and ends. */
+final class ShutdownSequence {
+
+    /** The load balancer checks readiness every second and removes a gateway after two failed checks. */
+    private static final long BALANCER_REMOVAL_MS = 2_300;
+
+    /** Maximum time after the start of draining for which new connections are accepted. */
+    private static final long MAX_DRAIN_ACCEPT_MS = 4_000;
+
+    /** Time reserved between the last response and the end of the grace period. */
+    private static final long SHUTDOWN_RESERVE_MS = 600;
+
+    /** Time in which the requests of the last accepted connections are served. */
+    private static final long LAST_REQUESTS_MS = 1_000;
+
+    private static final long NOT_STARTED = -1;
+
+    private long startedMs = NOT_STARTED;
+
+    void start(long nowMs) {
+        startedMs = nowMs;
+    }
+
+    boolean started() {
+        return startedMs != NOT_STARTED;
+    }
+
+    long durationMs(long nowMs) {
+        return nowMs - startedMs;
+    }
+
+    /** Returns whether idle connections are closed; before, clients may still be sent here. */
+    boolean closesIdleConnections(long nowMs) {
+        return durationMs(nowMs) > BALANCER_REMOVAL_MS;
+    }
+
+    /**
+     * Returns whether no more connections are accepted.
+     *
+     * @param connections open client connections
+     * @param graceMs time from the start of the shutdown to the forced end of the process, in milliseconds
+     */
+    boolean stopsListening(int connections, long graceMs, long nowMs) {
+        boolean removedFromBalancer = closesIdleConnections(nowMs) && connections == 0;
+        return removedFromBalancer
+                || durationMs(nowMs) > Math.min(MAX_DRAIN_ACCEPT_MS, serviceEndMs(graceMs) - LAST_REQUESTS_MS);
+    }
+
+    /** Returns whether a gateway that does not listen any more may end. */
+    boolean isComplete(int connections, long graceMs, long nowMs) {
+        return connections == 0 || durationMs(nowMs) > serviceEndMs(graceMs);
+    }
+
+    private static long serviceEndMs(long graceMs) {
+        return graceMs - SHUTDOWN_RESERVE_MS;
+    }
+}
