Quarantine prompts that crash upstreams

Cause: a failure was remembered only against the upstream. When an upstream crashed, the request in progress was sent to the next one at once, and nothing connected it with earlier crashes, so neither the retry nor the next request with the same prompt part was recognised. The class of the fault: a fault that travels with the request is treated as one of the server. The other places that remember failures (ejection, retry budget) are per upstream too, and rightly so; only what travels with a request needs a memory of its own.

Change: gateways remember the shared prompt parts of requests lost with a crash, and which parts were answered. A part that was lost with two crashes, or three if they come together, and was never answered, is quarantined: requests with it are refused at once with 503 and the rest of the quarantine as Retry-After, and are not sent again. CrashAttribution decides without network or clock; only the combination of unproven parts that all lost requests share is quarantined, so that callers who share another part are served. Gateways report lost prompts, answered parts and quarantines to each other by datagram; quarantines are kept in the store for restarts. A quarantine ends after ten minutes, or when its prompt is answered after all.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -91,6 +92,17 @@
         return responseStarted;
     }
 
+    /**
+     * Returns whether a complete response was a success. A response that does not say where it ends is not counted,
+     * since its end can't be told from a crash.
+     */
+    boolean succeeded() {
+        HttpResponse response = head;
+        return response != null
+                && response.status().codeClass() == HttpStatusClass.SUCCESS
+                && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+    }
+
     boolean ended() {
         return ended;
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -17,12 +17,14 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
+import org.kingcuproad.policy.quarantine.QuarantinedPrompt;
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
@@ -80,7 +82,7 @@
     private final PeerChannel peerChannel;
     private final PeerDirectory peerDirectory;
     private final ProcessMetrics metrics = new ProcessMetrics();
-    private final UpstreamCrashDetector crashDetector;
+    private final QuarantineStore quarantineStore;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -124,11 +126,15 @@
                 storeView.upstreamListener(),
                 log,
                 UPSTREAMS_WATCH_MS);
-        this.peerChannel = new PeerChannel(log, settings.name(), peerLoads, this::onSlowdown, clock);
+        this.peerChannel =
+                new PeerChannel(log, settings.name(), peerLoads, this::onSlowdown, this::onCrashReport, clock);
+        this.quarantineStore = new QuarantineStore(
+                eventLoop,
+                dialect.quarantines(),
+                new SerialHttpConnection(eventLoop, settings.storeAddress()),
+                this::onStoredQuarantine,
+                log);
         this.peerDirectory = new PeerDirectory(eventLoop, dialect.gateways(), settings, peerLoads, clock, log);
-        this.crashDetector = new UpstreamCrashDetector(
-                (upstream, result) -> UpstreamConnector.probe(eventLoop, clock, names().requestId(), upstream, result),
-                this::onUpstreamCrash);
     }
 
     /**
@@ -179,6 +185,7 @@
             configurationWatcher.start();
             upstreamWatcher.start();
             peerDirectory.start();
+            quarantineStore.start();
             eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
             sendLoadsToPeers();
             eventLoop.scheduleWithFixedDelay(this::subscribeToSlowdowns, RENEWAL_MS, RENEWAL_MS, TimeUnit.MILLISECONDS);
@@ -249,18 +256,31 @@
         return log;
     }
 
-    UpstreamCrashDetector crashDetector() {
-        return crashDetector;
+    /** Opens a connection to an upstream without a request, to find out whether it listens. */
+    void probe(Upstream upstream, Consumer<ProbeResult> onResult) {
+        metrics.count("upstream_connections_opened");
+        UpstreamConnector.probe(eventLoop, clock, names().requestId(), upstream, onResult);
     }
 
-    private void onUpstreamCrash(Upstream upstream, List<List<String>> prompts) {
-        metrics.count("upstream_crashes");
-        log.event("upstream crashed")
-                .field("upstream", upstream.entry().id())
-                .field("startedMs", upstream.entry().startedMs())
-                .field("lostRequests", prompts.size())
-                .field("prompts", prompts.toString())
-                .write();
+    QuarantineStore quarantineStore() {
+        return quarantineStore;
+    }
+
+    ProcessMetrics metrics() {
+        return metrics;
+    }
+
+    void sendToPeers(CrashReport report) {
+        peerChannel.send(report);
+    }
+
+    private void onCrashReport(CrashReport report) {
+        Optional.ofNullable(dispatchers.get(report.service()))
+                .ifPresent(dispatcher -> dispatcher.crashProtection().guard().onReport(report, clock.steadyMs()));
+    }
+
+    private void onStoredQuarantine(QuarantinedPrompt prompt) {
+        dispatcher(prompt.service()).crashProtection().guard().onStored(prompt, clock.steadyMs());
     }
 
     PeerLoads peerLoads() {
@@ -284,15 +304,7 @@
         dispatchers.values().stream()
                 .flatMap(dispatcher -> dispatcher.upstreams().stream())
                 .filter(upstream -> upstream.entry().host().equals(host))
-                .forEach(upstream -> {
-                    if (upstream.slowdown() != slowdown) {
-                        log.event("upstream slowdown changed")
-                                .field("upstream", upstream.entry().id())
-                                .field("pacePercent", Math.round(slowdown * 100))
-                                .write();
-                    }
-                    upstream.setSlowdown(slowdown, clock.steadyMs());
-                });
+                .forEach(upstream -> upstream.setSlowdown(slowdown, clock.steadyMs(), log));
     }
 
     private void subscribeToSlowdowns() {
@@ -320,7 +332,7 @@
 
     private ServiceDispatcher dispatcher(String service) {
         return dispatchers.computeIfAbsent(
-                service, unused -> new ServiceDispatcher(this, new WindowedRetryBudget(budgetLimits())));
+                service, name -> new ServiceDispatcher(this, name, new WindowedRetryBudget(budgetLimits())));
     }
 
     private void sendLoadsToPeers() {
@@ -475,6 +487,7 @@
         configurationWatcher.close();
         upstreamWatcher.close();
         peerDirectory.close();
+        quarantineStore.close();
         peerChannel.close();
         stopped.complete(null);
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayDialect.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayDialect.java
@@ -10,9 +10,11 @@
  * @param configuration format of the stored configuration
  * @param upstreams format of the stored upstream entries
  * @param gateways format of the stored gateway registrations
+ * @param quarantines format of the stored quarantined prompts
  */
 public record GatewayDialect(
         HeaderNames headers,
         StoreDialect<GatewayConfiguration> configuration,
         StoreDialect<UpstreamEntry> upstreams,
-        RegistryDialect gateways) {}
+        RegistryDialect gateways,
+        QuarantineDialect quarantines) {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
@@ -11,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.ObjDoubleConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -20,7 +22,7 @@
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
- * Exchanges load datagrams with the other gateways, and receives the slowdown notices of agents.
+ * Exchanges load datagrams and crash reports with the other gateways, and receives the slowdown notices of agents.
  *
  * <p>A load datagram holds the format version, the gateway's name, and for each upstream with requests its id, the
  * number of requests in progress and their pending prefill tokens. Lost datagrams are not repeated, since the next one
@@ -37,10 +39,18 @@
     private final String name;
     private final PeerLoads loads;
     private final ObjDoubleConsumer<String> slowdowns;
+    private final Consumer<CrashReport> crashReports;
     private final Clock clock;
     private @Nullable Channel channel;
 
-    PeerChannel(DecisionLog log, String name, PeerLoads loads, ObjDoubleConsumer<String> slowdowns, Clock clock) {
+    PeerChannel(
+            DecisionLog log,
+            String name,
+            PeerLoads loads,
+            ObjDoubleConsumer<String> slowdowns,
+            Consumer<CrashReport> crashReports,
+            Clock clock) {
+        this.crashReports = crashReports;
         this.slowdowns = slowdowns;
         this.log = log;
         this.name = name;
@@ -81,6 +91,19 @@
                 message.writeInt((int) load.pendingPrefillTokens());
             }
         });
+        broadcast(open, message, addresses);
+    }
+
+    /** Sends a crash report to all known peers. */
+    void send(CrashReport report) {
+        Channel open = channel;
+        var addresses = loads.addresses(clock.steadyMs());
+        if (open != null && open.isActive() && !addresses.isEmpty()) {
+            broadcast(open, CrashReportCodec.encode(report), addresses);
+        }
+    }
+
+    private static void broadcast(Channel open, ByteBuf message, List<InetSocketAddress> addresses) {
         addresses.forEach(address -> open.write(new DatagramPacket(message.retainedDuplicate(), address)));
         open.flush();
         message.release();
@@ -116,6 +139,10 @@
                 return;
             }
             try {
+                if (message.getUnsignedByte(message.readerIndex()) == CrashReportCodec.TYPE) {
+                    crashReports.accept(CrashReportCodec.decode(message));
+                    return;
+                }
                 if (message.readUnsignedByte() != FORMAT_VERSION) {
                     return;
                 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -37,23 +37,22 @@
      */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_000;
 
-    /** Time after its deadline in which an upstream responds to a request whose client has left. */
-    private static final long DETACHED_GRACE_MS = 250;
-
     private final Gateway gateway;
     private boolean engine;
     private int tokensPerEvent;
     private final UpstreamPool upstreams = new UpstreamPool();
     private final RequestQueue<Exchange> queue = new RequestQueue<>(Exchange::schedulingAttributes);
     private final Set<Attempt> activeAttempts = new HashSet<>();
-    private final Set<Attempt> detachedAttempts = new HashSet<>();
+    private final DetachedAttempts detachedAttempts = new DetachedAttempts();
     private final WindowedRetryBudget budget;
     private final ServiceStatistics statistics = new ServiceStatistics();
+    private final CrashProtection crashProtection;
     private int rotation;
     private boolean dispatching;
 
-    ServiceDispatcher(Gateway gateway, WindowedRetryBudget budget) {
+    ServiceDispatcher(Gateway gateway, String service, WindowedRetryBudget budget) {
         this.gateway = gateway;
+        this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
         this.budget = budget;
     }
 
@@ -93,6 +92,9 @@
     void submit(Exchange exchange) {
         long nowMs = nowMs();
         budget.onRequest(nowMs);
+        if (crashProtection.endIfQuarantined(exchange, nowMs)) {
+            return;
+        }
         if (!upstreams.anyUsable()) {
             refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is available");
             return;
@@ -124,6 +126,25 @@
         }
     }
 
+    CrashProtection crashProtection() {
+        return crashProtection;
+    }
+
+    /** Ends requests that have become quarantined; an upstream that has not begun to answer is spared the crash. */
+    private void sweepCrashProtection(long nowMs) {
+        if (crashProtection.sweep(nowMs)) {
+            List.copyOf(activeAttempts).stream()
+                    .filter(attempt -> !attempt.responseStarted())
+                    .filter(attempt -> crashProtection.isQuarantined(attempt.exchange(), nowMs))
+                    .forEach(attempt -> {
+                        attempt.exchange().setMayHaveRun();
+                        attempt.cancel();
+                        activeAttempts.remove(attempt);
+                        crashProtection.endIfQuarantined(attempt.exchange(), nowMs);
+                    });
+        }
+    }
+
     private void refuse(Exchange exchange, ErrorKind kind, String detail) {
         long nowMs = nowMs();
         long retryAfterMs = RetryAfter.of(
@@ -149,6 +170,9 @@
                     return;
                 }
                 Exchange exchange = next.get();
+                if (crashProtection.endIfQuarantined(exchange, nowMs)) {
+                    continue;
+                }
                 OptionalInt index = selectUpstream(exchange, nowMs);
                 if (index.isEmpty()) {
                     queue.add(exchange);
@@ -244,6 +268,7 @@
 
     void onResponse(Attempt attempt, BufferedResponse response) {
         activeAttempts.remove(attempt);
+        crashProtection.onAnswered(attempt, nowMs());
         deliver(attempt.exchange(), response, attempt.upstream());
     }
 
@@ -262,6 +287,7 @@
     void onStreamEnd(Attempt attempt) {
         activeAttempts.remove(attempt);
         Exchange exchange = attempt.exchange();
+        crashProtection.onAnswered(attempt, nowMs());
         exchange.connection().sendEnd();
         gateway.onFinished(exchange, 200, "streamed", attempt.upstream().entry().id());
     }
@@ -319,7 +345,7 @@
                 recordFailure(upstream, outcome, nowMs);
                 upstream.closeIdleConnections();
                 if (lost.disconnected()) {
-                    gateway.crashDetector().onDisconnected(upstream, exchange.promptParts());
+                    crashProtection.onDisconnected(upstream, exchange);
                 }
             }
             case AttemptOutcome.Failed failed -> {
@@ -395,6 +421,7 @@
 
     /** Checks queued requests and attempts in progress against their deadlines. */
     void sweep(long nowMs) {
+        sweepCrashProtection(nowMs);
         for (Exchange exchange : queue.removeExpired(nowMs)) {
             if (exchange.headSent()) {
                 gateway.abort(exchange, "no upstream had capacity to resume the stream");
@@ -407,22 +434,11 @@
         for (Attempt attempt : new ArrayList<>(activeAttempts)) {
             sweep(attempt, nowMs);
         }
-        sweepDetached(nowMs);
+        detachedAttempts.sweep(nowMs);
         upstreams.closeExpiredConnections(nowMs);
         dispatch();
     }
 
-    /** Ends the attempts that nobody waits for when the upstream has had the time that it was given. */
-    private void sweepDetached(long nowMs) {
-        detachedAttempts.removeIf(Attempt::ended);
-        List.copyOf(detachedAttempts).stream()
-                .filter(attempt -> nowMs >= attempt.exchange().deadlineMs() + DETACHED_GRACE_MS)
-                .forEach(attempt -> {
-                    detachedAttempts.remove(attempt);
-                    attempt.cancel();
-                });
-    }
-
     private void sweep(Attempt attempt, long nowMs) {
         Exchange exchange = attempt.exchange();
         if (attempt.ended()) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.UpstreamHealth;
+import org.kingcuproad.runtime.log.DecisionLog;
 
 /** State of an upstream in this gateway: its idle connections, requests in progress, health and slowdown. */
 final class Upstream {
@@ -77,12 +78,20 @@
         inFlight--;
     }
 
-    /** Returns how many times longer than usual the upstream takes for the same work, as last reported by its agent. */
-    double slowdown() {
-        return slowdown;
-    }
-
-    void setSlowdown(double reported, long nowMs) {
+    /**
+     * Records how many times longer than usual the upstream takes for the same work.
+     *
+     * @param reported the factor that the upstream's agent reported
+     * @param nowMs current time, in milliseconds
+     * @param log log for changes
+     */
+    void setSlowdown(double reported, long nowMs, DecisionLog log) {
+        if (slowdown != reported) {
+            log.event("upstream slowdown changed")
+                    .field("upstream", entry.id())
+                    .field("pacePercent", Math.round(reported * 100))
+                    .write();
+        }
         slowdown = reported;
         slowdownReportedMs = nowMs;
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -194,7 +194,8 @@
                 new FakeDialect<>(
                         List.of(new StoreObject<>("main", Optional.of(configuration), "")), configurationTarget),
                 new FakeDialect<>(upstreams),
-                new FakeRegistry());
+                new FakeRegistry(),
+                new FakeQuarantines());
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         resources.add(() -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
         LineSink sink = new LineSink(java.io.OutputStream.nullOutputStream());
--- /dev/null
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/PromptCrashGuardTest.java
@@ -0,0 +1,146 @@
+package org.kingcuproad.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.kingcuproad.policy.quarantine.PromptQuarantine;
+import org.kingcuproad.policy.quarantine.QuarantinedPrompt;
+import org.kingcuproad.policy.quarantine.UpstreamCrash;
+
+/** Guards against each gateway having to lose upstreams of its own before it keeps a prompt away from them. */
+class PromptCrashGuardTest {
+
+    /** Gateways that pass reports to each other in their binary form. */
+    private final Map<String, PromptCrashGuard> guards = new HashMap<>();
+
+    private final Set<QuarantinedPrompt> stored = new HashSet<>();
+    private final List<String> unreachable = new ArrayList<>();
+    private long nowMs;
+
+    private final class FakeEnvironment implements PromptCrashGuard.Environment {
+
+        private final String name;
+
+        private FakeEnvironment(String name) {
+            this.name = name;
+        }
+
+        @Override
+        public boolean hasPeers() {
+            return guards.size() > 1;
+        }
+
+        @Override
+        public void broadcast(String service, PromptQuarantine quarantine, List<UpstreamCrash> ownCrashes) {
+            CrashReport report = new CrashReport(
+                    name,
+                    service,
+                    quarantine.answers(),
+                    quarantine.quarantined().entrySet().stream()
+                            .collect(Collectors.toMap(Map.Entry::getKey, entry -> nowMs - entry.getValue())),
+                    ownCrashes.stream().collect(Collectors.toMap(UpstreamCrash::upstream, UpstreamCrash::prompts)),
+                    quarantine.provenAmong(quarantine.crashesSince(0)));
+            guards.entrySet().stream()
+                    .filter(entry -> !entry.getKey().equals(name) && !unreachable.contains(entry.getKey()))
+                    .forEach(entry ->
+                            entry.getValue().onReport(CrashReportCodec.decode(CrashReportCodec.encode(report)), nowMs));
+        }
+
+        @Override
+        public void save(QuarantinedPrompt prompt) {
+            stored.add(prompt);
+        }
+
+        @Override
+        public void delete(QuarantinedPrompt prompt) {
+            stored.remove(prompt);
+        }
+
+        @Override
+        public void onQuarantined(QuarantinedPrompt prompt, long crashes) {}
+    }
+
+    private PromptCrashGuard guard(String name) {
+        PromptCrashGuard guard = new PromptCrashGuard("desk", new FakeEnvironment(name));
+        guards.put(name, guard);
+        return guard;
+    }
+
+    private void runUntil(long endMs) {
+        for (; nowMs < endMs; nowMs += 25) {
+            List.copyOf(guards.values()).forEach(guard -> guard.sweep(nowMs));
+        }
+    }
+
+    private void crash(PromptCrashGuard guard, String upstream, List<String> prompt) {
+        guard.onCrash(new UpstreamCrash.Incarnation(upstream, 1), List.of(prompt), nowMs);
+    }
+
+    private void crashTwice(PromptCrashGuard first, PromptCrashGuard second) {
+        for (int index = 0; index < 10; index++) {
+            first.onAnswered(List.of("first"), nowMs);
+        }
+        crash(first, "u1", List.of("first", "bad"));
+        runUntil(5_000);
+        crash(second, "u2", List.of("first", "bad"));
+        runUntil(5_300);
+    }
+
+    @Test
+    void learnsFromCrashesThatOtherGatewaysSaw() {
+        PromptCrashGuard first = guard("g1");
+        PromptCrashGuard second = guard("g2");
+        PromptCrashGuard third = guard("g3");
+
+        crashTwice(first, second);
+
+        assertThat(third.quarantinedForMs(List.of("other", "bad"), nowMs)).isPresent();
+        assertThat(third.quarantinedForMs(List.of("first"), nowMs))
+                .as("only g1 has seen it answered")
+                .isEmpty();
+    }
+
+    @Test
+    void learnsFromLaterReportsIfTheFirstOnesWereLost() {
+        PromptCrashGuard first = guard("g1");
+        PromptCrashGuard second = guard("g2");
+        PromptCrashGuard third = guard("g3");
+        unreachable.add("g3");
+        crashTwice(first, second);
+        assertThat(third.quarantinedForMs(List.of("bad"), nowMs)).isEmpty();
+
+        unreachable.clear();
+        runUntil(nowMs + 1_000);
+
+        assertThat(third.quarantinedForMs(List.of("bad"), nowMs)).isPresent();
+    }
+
+    /** Guards against forgetting a quarantine when all gateways restart at the same time. */
+    @Test
+    void restoresQuarantinesFromTheStore() {
+        crashTwice(guard("g1"), guard("g2"));
+        guards.clear();
+
+        PromptCrashGuard restarted = guard("g1");
+        stored.forEach(prompt -> restarted.onStored(prompt, nowMs));
+
+        assertThat(restarted.quarantinedForMs(List.of("other", "bad"), nowMs)).isPresent();
+    }
+
+    @Test
+    void removesQuarantinesFromTheStoreWhenTheyEnd() {
+        crashTwice(guard("g1"), guard("g2"));
+        assertThat(stored).containsExactly(new QuarantinedPrompt("desk", Set.of("bad")));
+
+        runUntil(nowMs + PromptQuarantine.MEMORY_MS + 2_000);
+
+        assertThat(stored).isEmpty();
+    }
+}
--- a/kingcuproad-model/src/main/java/org/kingcuproad/model/ErrorKind.java
+++ b/kingcuproad-model/src/main/java/org/kingcuproad/model/ErrorKind.java
@@ -50,6 +50,14 @@
     /** No upstream can take the request now. */
     NO_UPSTREAM("no-upstream", 503, Execution.NOT_RUN, true, "No upstream can take the request now."),
 
+    /** Upstreams crashed while they answered requests with parts of this prompt. */
+    PROMPT_QUARANTINED(
+            "prompt-quarantined",
+            503,
+            Execution.NOT_RUN,
+            true,
+            "Upstreams crashed while they answered requests with parts of this prompt."),
+
     /** The platform's object API does not answer, so the order could not be claimed. */
     STORE_UNAVAILABLE(
             "store-unavailable",
