--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -214,6 +215,9 @@
         exchange.onSend(upstream.entry().id(), nowMs);
         activeAttempts.add(attempt);
         upstream.onSend(exchange.promptTokens());
+        if (upstream.announcedLimitPerSecond().isPresent()) {
+            gateway.metrics().count("requests_to_limited_upstreams");
+        }
         long maxIdleMs = exchange.route().retryable() ? Long.MAX_VALUE : NON_RETRYABLE_MAX_IDLE_MS;
         UpstreamConnection idle = upstream.takeIdleConnection(nowMs, maxIdleMs);
         if (idle != null && idle.open()) {
@@ -252,6 +256,20 @@
         statistics.onEvent(eventMs);
     }
 
+    /** Records how many requests a second an upstream says that it accepts. */
+    void onAnnouncedLimit(Upstream upstream, OptionalDouble perSecond) {
+        if (!perSecond.equals(upstream.announcedLimitPerSecond())) {
+            gateway.log()
+                    .event("upstream limit changed")
+                    .field("upstream", upstream.entry().id())
+                    .field("perSecond", perSecond.isPresent() ? String.valueOf(perSecond.getAsDouble()) : "none")
+                    .field("sentBefore", upstream.sends())
+                    .field("inFlight", upstream.inFlight())
+                    .write();
+            upstream.setAnnouncedLimit(perSecond);
+        }
+    }
+
     void onMismatchedResponse(Attempt attempt, String responseId) {
         gateway.log()
                 .event("skipped response to another request")
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.OptionalDouble;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.UpstreamHealth;
 import org.kingcuproad.runtime.log.DecisionLog;
@@ -19,6 +20,8 @@
     private UpstreamEntry entry;
     private final UpstreamHealth health = new UpstreamHealth();
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
+    private OptionalDouble announcedLimitPerSecond = OptionalDouble.empty();
+    private long sends;
     private int inFlight;
     private double pendingPrefillTokens;
     private boolean removed;
@@ -65,7 +68,22 @@
         return pendingPrefillTokens;
     }
 
+    /** Returns the requests a second that the upstream accepts from all gateways, as it last said in a response. */
+    OptionalDouble announcedLimitPerSecond() {
+        return announcedLimitPerSecond;
+    }
+
+    void setAnnouncedLimit(OptionalDouble perSecond) {
+        announcedLimitPerSecond = perSecond;
+    }
+
+    /** Returns the number of requests that this gateway has sent to the upstream. */
+    long sends() {
+        return sends;
+    }
+
     void onSend(double promptTokens) {
+        sends++;
         inFlight++;
         pendingPrefillTokens += promptTokens;
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -46,6 +46,7 @@
             "X-Expect",
             "X-Not-Run",
             "X-Seal",
+            "X-Limit",
             "X-Urgency",
             "X-Tokens",
             "X-Parts",
