Keep all gateways together within the request limits of upstreams

What callers saw: nothing yet.

Cause: no gateway read the limit, so limited upstreams got as many requests as the others. The class of the fault: a signal of an upstream about its own state is passed on to clients but not acted on. The same cause elsewhere: Keep-Alive, Connection: close and draining are read; At-Server is not, but names no limit.

Change: SharedRequestLimit is a token bucket that every gateway keeps for each limited upstream; each request takes a token, whichever gateway sent it. Gateways report a request to a limited upstream at once and repeat it, and report all limits each second, so that a restarted gateway knows them. The share of gateways that are known but silent stays unused. An upstream without tokens is not chosen; its requests go to the others or wait.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashReportCodec.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashReportCodec.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -29,19 +28,19 @@
     static ByteBuf encode(CrashReport report) {
         ByteBuf message = Unpooled.buffer(MAX_BYTES);
         message.writeByte(TYPE);
-        writeText(message, report.sender());
-        writeText(message, report.service());
+        DatagramText.write(message, report.sender());
+        DatagramText.write(message, report.service());
         message.writeInt((int) report.answers());
         writeItems(message, report.quarantineAgesMs().entrySet(), (buffer, quarantine) -> {
             buffer.writeInt((int) (long) quarantine.getValue());
             writeTexts(buffer, quarantine.getKey());
         });
         writeItems(message, report.lostPrompts().entrySet(), (buffer, crash) -> {
-            writeText(buffer, crash.getKey().upstreamId());
+            DatagramText.write(buffer, crash.getKey().upstreamId());
             buffer.writeLong(crash.getKey().startedMs());
             writeItems(buffer, crash.getValue(), CrashReportCodec::writeTexts);
         });
-        writeItems(message, report.provenParts(), CrashReportCodec::writeText);
+        writeItems(message, report.provenParts(), DatagramText::write);
         return message;
     }
 
@@ -52,8 +51,8 @@
      */
     static CrashReport decode(ByteBuf message) {
         message.skipBytes(1);
-        String sender = readText(message);
-        String service = readText(message);
+        String sender = DatagramText.read(message);
+        String service = DatagramText.read(message);
         long answers = message.readInt();
         Map<Set<String>, Long> quarantineAgesMs = new HashMap<>();
         for (int left = message.readUnsignedByte(); left > 0; left--) {
@@ -62,7 +61,8 @@
         }
         Map<UpstreamCrash.Incarnation, Set<List<String>>> lostPrompts = new HashMap<>();
         for (int left = message.readUnsignedByte(); left > 0; left--) {
-            UpstreamCrash.Incarnation upstream = new UpstreamCrash.Incarnation(readText(message), message.readLong());
+            UpstreamCrash.Incarnation upstream =
+                    new UpstreamCrash.Incarnation(DatagramText.read(message), message.readLong());
             Set<List<String>> prompts = new HashSet<>();
             for (int promptsLeft = message.readUnsignedByte(); promptsLeft > 0; promptsLeft--) {
                 prompts.add(readTexts(message));
@@ -89,26 +89,14 @@
     }
 
     private static void writeTexts(ByteBuf message, Collection<String> texts) {
-        writeItems(message, texts, CrashReportCodec::writeText);
+        writeItems(message, texts, DatagramText::write);
     }
 
     private static List<String> readTexts(ByteBuf message) {
         List<String> texts = new ArrayList<>();
         for (int left = message.readUnsignedByte(); left > 0; left--) {
-            texts.add(readText(message));
+            texts.add(DatagramText.read(message));
         }
         return texts;
     }
-
-    private static void writeText(ByteBuf message, String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        int length = Math.min(bytes.length, MAX_ITEMS);
-        message.writeByte(length);
-        message.writeBytes(bytes, 0, length);
-    }
-
-    private static String readText(ByteBuf message) {
-        return message.readCharSequence(message.readUnsignedByte(), StandardCharsets.UTF_8)
-                .toString();
-    }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -83,6 +83,7 @@
     private final PeerDirectory peerDirectory;
     private final ProcessMetrics metrics = new ProcessMetrics();
     private final QuarantineStore quarantineStore;
+    private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
@@ -126,8 +127,8 @@
                 storeView.upstreamListener(),
                 log,
                 UPSTREAMS_WATCH_MS);
-        this.peerChannel =
-                new PeerChannel(log, settings.name(), peerLoads, this::onSlowdown, this::onCrashReport, clock);
+        this.peerChannel = new PeerChannel(log, settings.name(), peerLoads, new PeerReportHandler(this), clock);
+        this.upstreamLimits = new UpstreamLimits(settings.name(), this::allUpstreams, peerChannel::send, log);
         this.quarantineStore = new QuarantineStore(
                 eventLoop,
                 dialect.quarantines(),
@@ -274,9 +275,12 @@
         peerChannel.send(report);
     }
 
-    private void onCrashReport(CrashReport report) {
-        Optional.ofNullable(dispatchers.get(report.service()))
-                .ifPresent(dispatcher -> dispatcher.crashProtection().guard().onReport(report, clock.steadyMs()));
+    UpstreamLimits upstreamLimits() {
+        return upstreamLimits;
+    }
+
+    Optional<ServiceDispatcher> knownDispatcher(String service) {
+        return Optional.ofNullable(dispatchers.get(service));
     }
 
     private void onStoredQuarantine(QuarantinedPrompt prompt) {
@@ -300,13 +304,6 @@
         return new StatusServer.Status(ready, ready ? "ready\n" : "not ready\n");
     }
 
-    private void onSlowdown(String host, double slowdown) {
-        dispatchers.values().stream()
-                .flatMap(dispatcher -> dispatcher.upstreams().stream())
-                .filter(upstream -> upstream.entry().host().equals(host))
-                .forEach(upstream -> upstream.setSlowdown(slowdown, clock.steadyMs(), log));
-    }
-
     private void subscribeToSlowdowns() {
         peerChannel.subscribe(dispatchers.values().stream()
                 .filter(ServiceDispatcher::engine)
@@ -335,9 +332,14 @@
                 service, name -> new ServiceDispatcher(this, name, new WindowedRetryBudget(budgetLimits())));
     }
 
+    List<Upstream> allUpstreams() {
+        return dispatchers.values().stream()
+                .flatMap(dispatcher -> dispatcher.upstreams().stream())
+                .toList();
+    }
+
     private void sendLoadsToPeers() {
-        peerChannel.send(() -> PeerLoads.ownLoads(
-                dispatchers.values().stream().flatMap(dispatcher -> dispatcher.upstreams().stream())));
+        peerChannel.send(() -> PeerLoads.ownLoads(allUpstreams().stream()));
         long intervalMs = Math.round(PEER_LOADS_MS * Math.max(1.0, (double) peerLoads.count() / FULL_RATE_PEERS));
         eventLoop.schedule(this::sendLoadsToPeers, intervalMs, TimeUnit.MILLISECONDS);
     }
@@ -449,6 +451,7 @@
         lastSweepWallMs = wallMs;
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
+        upstreamLimits.report(nowMs);
         List.copyOf(connections).forEach(connection -> connection.sweep(nowMs));
         boolean ready = ready();
         if (ready != lastReady) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
@@ -9,12 +9,9 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Consumer;
-import java.util.function.ObjDoubleConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +19,8 @@
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
- * Exchanges load datagrams and crash reports with the other gateways, and receives the slowdown notices of agents.
+ * Exchanges reports of loads, crashes and request limits with the other gateways, and receives the slowdown notices of
+ * agents.
  *
  * <p>A load datagram holds the format version, the gateway's name, and for each upstream with requests its id, the
  * number of requests in progress and their pending prefill tokens. Lost datagrams are not repeated, since the next one
@@ -38,23 +36,31 @@
     private final DecisionLog log;
     private final String name;
     private final PeerLoads loads;
-    private final ObjDoubleConsumer<String> slowdowns;
-    private final Consumer<CrashReport> crashReports;
+    private final Listener listener;
     private final Clock clock;
     private @Nullable Channel channel;
 
-    PeerChannel(
-            DecisionLog log,
-            String name,
-            PeerLoads loads,
-            ObjDoubleConsumer<String> slowdowns,
-            Consumer<CrashReport> crashReports,
-            Clock clock) {
-        this.crashReports = crashReports;
-        this.slowdowns = slowdowns;
+    /** Receives what other gateways and agents report. */
+    interface Listener {
+
+        /**
+         * Receives the slowdown of an engine.
+         *
+         * @param host address of the engine's VM
+         * @param slowdown factor by which the engine takes longer than usual for the same work
+         */
+        void onSlowdown(String host, double slowdown);
+
+        void onCrashReport(CrashReport report);
+
+        void onLimitReport(LimitReport report);
+    }
+
+    PeerChannel(DecisionLog log, String name, PeerLoads loads, Listener listener, Clock clock) {
         this.log = log;
         this.name = name;
         this.loads = loads;
+        this.listener = listener;
         this.clock = clock;
     }
 
@@ -83,10 +89,10 @@
         }
         ByteBuf message = open.alloc().buffer(MAX_BYTES);
         message.writeByte(FORMAT_VERSION);
-        writeText(message, name);
+        DatagramText.write(message, name);
         ownLoads.get().forEach((id, load) -> {
             if (message.readableBytes() + id.length() + Integer.BYTES * 2 < MAX_BYTES) {
-                writeText(message, id);
+                DatagramText.write(message, id);
                 message.writeShort(load.inFlight());
                 message.writeInt((int) load.pendingPrefillTokens());
             }
@@ -96,10 +102,19 @@
 
     /** Sends a crash report to all known peers. */
     void send(CrashReport report) {
+        broadcast(() -> CrashReportCodec.encode(report));
+    }
+
+    /** Sends a report of request limits to all known peers. */
+    void send(LimitReport report) {
+        broadcast(() -> LimitReportCodec.encode(report));
+    }
+
+    private void broadcast(Supplier<ByteBuf> message) {
         Channel open = channel;
         var addresses = loads.addresses(clock.steadyMs());
         if (open != null && open.isActive() && !addresses.isEmpty()) {
-            broadcast(open, CrashReportCodec.encode(report), addresses);
+            broadcast(open, message.get(), addresses);
         }
     }
 
@@ -118,41 +133,22 @@
         }
     }
 
-    private static void writeText(ByteBuf message, String text) {
-        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-        message.writeByte(bytes.length);
-        message.writeBytes(bytes);
-    }
-
-    private static String readText(ByteBuf message) {
-        return message.readCharSequence(message.readUnsignedByte(), StandardCharsets.UTF_8)
-                .toString();
-    }
-
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             ByteBuf message = packet.content();
             if (SlowdownNotifier.isNotice(message)) {
-                slowdowns.accept(packet.sender().getHostString(), SlowdownNotifier.readSlowdown(message));
+                listener.onSlowdown(packet.sender().getHostString(), SlowdownNotifier.readSlowdown(message));
                 return;
             }
             try {
-                if (message.getUnsignedByte(message.readerIndex()) == CrashReportCodec.TYPE) {
-                    crashReports.accept(CrashReportCodec.decode(message));
-                    return;
-                }
-                if (message.readUnsignedByte() != FORMAT_VERSION) {
-                    return;
+                switch (message.getUnsignedByte(message.readerIndex())) {
+                    case CrashReportCodec.TYPE -> listener.onCrashReport(CrashReportCodec.decode(message));
+                    case LimitReportCodec.TYPE -> listener.onLimitReport(LimitReportCodec.decode(message));
+                    case FORMAT_VERSION -> readLoads(message, packet.sender());
+                    default -> {}
                 }
-                String sender = readText(message);
-                Map<String, PeerLoads.Load> reported = new HashMap<>();
-                while (message.isReadable()) {
-                    String id = readText(message);
-                    reported.put(id, new PeerLoads.Load(message.readUnsignedShort(), message.readInt()));
-                }
-                loads.onMessage(sender, packet.sender(), reported, clock.steadyMs());
             } catch (IndexOutOfBoundsException truncated) {
                 log.event("malformed datagram")
                         .field("sender", String.valueOf(packet.sender()))
@@ -160,6 +156,17 @@
             }
         }
 
+        private void readLoads(ByteBuf message, InetSocketAddress address) {
+            message.skipBytes(1);
+            String sender = DatagramText.read(message);
+            Map<String, PeerLoads.Load> reported = new HashMap<>();
+            while (message.isReadable()) {
+                String id = DatagramText.read(message);
+                reported.put(id, new PeerLoads.Load(message.readUnsignedShort(), message.readInt()));
+            }
+            loads.onMessage(sender, address, reported, clock.steadyMs());
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             log.event("datagram channel failed")
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
@@ -99,6 +99,13 @@
                 .reduce(Load.NONE, Load::plus);
     }
 
+    /** Returns the share of the known gateways, this one included, that have reported recently. */
+    double reportingShare(long nowMs) {
+        long reporting =
+                peers.values().stream().filter(peer -> peer.reporting(nowMs)).count();
+        return (reporting + 1.0) / (peers.size() + 1);
+    }
+
     /** Returns the maximum number of requests that all gateways together should have in progress at an upstream. */
     int limit(int slots, int ownInFlight, Load peerLoad, long nowMs) {
         int silentPeers = (int)
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
@@ -0,0 +1,33 @@
+package org.kingcuproad.gateway;
+
+/** Passes reports of other gateways and of agents on to the parts of the gateway that use them. */
+final class PeerReportHandler implements PeerChannel.Listener {
+
+    private final Gateway gateway;
+
+    PeerReportHandler(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    @Override
+    public void onSlowdown(String host, double slowdown) {
+        gateway.allUpstreams().stream()
+                .filter(upstream -> upstream.entry().host().equals(host))
+                .forEach(upstream ->
+                        upstream.setSlowdown(slowdown, gateway.clock().steadyMs(), gateway.log()));
+    }
+
+    @Override
+    public void onCrashReport(CrashReport report) {
+        gateway.knownDispatcher(report.service())
+                .ifPresent(dispatcher -> dispatcher
+                        .crashProtection()
+                        .guard()
+                        .onReport(report, gateway.clock().steadyMs()));
+    }
+
+    @Override
+    public void onLimitReport(LimitReport report) {
+        gateway.upstreamLimits().onReport(report, gateway.clock().steadyMs());
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -183,6 +183,7 @@
             }
         } finally {
             dispatching = false;
+            gateway.upstreamLimits().report(nowMs());
         }
     }
 
@@ -196,7 +197,8 @@
     private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, long nowMs) {
         boolean admitted = upstream.usable()
                 && !exchange.tried(upstream.entry().id())
-                && upstream.health().admits(upstream.inFlight(), nowMs);
+                && upstream.health().admits(upstream.inFlight(), nowMs)
+                && withinRequestLimit(upstream, nowMs);
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
@@ -209,15 +211,18 @@
                 admitted);
     }
 
+    private boolean withinRequestLimit(Upstream upstream, long nowMs) {
+        return upstream.requestLimit().perSecond().isEmpty()
+                || upstream.requestLimit().allows(gateway.peerLoads().reportingShare(nowMs), nowMs);
+    }
+
     private void send(Exchange exchange, Upstream upstream, long nowMs) {
         Attempt attempt = new Attempt(this, exchange, upstream, nowMs);
         exchange.setAttempt(attempt);
         exchange.onSend(upstream.entry().id(), nowMs);
         activeAttempts.add(attempt);
         upstream.onSend(exchange.promptTokens());
-        if (upstream.announcedLimitPerSecond().isPresent()) {
-            gateway.metrics().count("requests_to_limited_upstreams");
-        }
+        gateway.upstreamLimits().onSend(upstream, nowMs);
         long maxIdleMs = exchange.route().retryable() ? Long.MAX_VALUE : NON_RETRYABLE_MAX_IDLE_MS;
         UpstreamConnection idle = upstream.takeIdleConnection(nowMs, maxIdleMs);
         if (idle != null && idle.open()) {
@@ -258,16 +263,7 @@
 
     /** Records how many requests a second an upstream says that it accepts. */
     void onAnnouncedLimit(Upstream upstream, OptionalDouble perSecond) {
-        if (!perSecond.equals(upstream.announcedLimitPerSecond())) {
-            gateway.log()
-                    .event("upstream limit changed")
-                    .field("upstream", upstream.entry().id())
-                    .field("perSecond", perSecond.isPresent() ? String.valueOf(perSecond.getAsDouble()) : "none")
-                    .field("sentBefore", upstream.sends())
-                    .field("inFlight", upstream.inFlight())
-                    .write();
-            upstream.setAnnouncedLimit(perSecond);
-        }
+        gateway.upstreamLimits().onAnnounced(upstream, perSecond, nowMs());
     }
 
     void onMismatchedResponse(Attempt attempt, String responseId) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
-import java.util.OptionalDouble;
+import org.kingcuproad.policy.gateway.SharedRequestLimit;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.UpstreamHealth;
 import org.kingcuproad.runtime.log.DecisionLog;
@@ -20,8 +20,8 @@
     private UpstreamEntry entry;
     private final UpstreamHealth health = new UpstreamHealth();
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
-    private OptionalDouble announcedLimitPerSecond = OptionalDouble.empty();
-    private long sends;
+    private final SharedRequestLimit requestLimit = new SharedRequestLimit();
+    private long lastSendMs;
     private int inFlight;
     private double pendingPrefillTokens;
     private boolean removed;
@@ -68,22 +68,19 @@
         return pendingPrefillTokens;
     }
 
-    /** Returns the requests a second that the upstream accepts from all gateways, as it last said in a response. */
-    OptionalDouble announcedLimitPerSecond() {
-        return announcedLimitPerSecond;
+    SharedRequestLimit requestLimit() {
+        return requestLimit;
     }
 
-    void setAnnouncedLimit(OptionalDouble perSecond) {
-        announcedLimitPerSecond = perSecond;
+    long lastSendMs() {
+        return lastSendMs;
     }
 
-    /** Returns the number of requests that this gateway has sent to the upstream. */
-    long sends() {
-        return sends;
+    void setLastSendMs(long atMs) {
+        lastSendMs = atMs;
     }
 
     void onSend(double promptTokens) {
-        sends++;
         inFlight++;
         pendingPrefillTokens += promptTokens;
     }
