Refuse at once what the announced limits can't serve in time

Cause: the expected wait comes from the rate at which slots became free. When all upstreams begin to name limits, that rate is too high for some requests, so requests wait that the limits can't serve before their start deadline, and are refused only when it has passed.

Change: if every upstream of a service names a limit, the queue length divided by their sum is a lower bound of the wait; the refusal and its Retry-After follow from it. The load it answers: all upstreams limited while callers arrive as usual.

Figures: QueueAdmissionDecisionTest: with 20 queued requests, slots free every 10 ms until now and limits of 8 a second, the request is refused at once with a wait of 2,500 ms; without limits it is admitted as before.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -116,14 +116,26 @@
         queue.add(exchange);
         dispatch();
         if (exchange.attempt() == null && !exchange.done()) {
-            QueueAdmissionDecision queueAdmission =
-                    QueueAdmissionDecision.of(exchange.schedulingAttributes(), queue.size(), statistics, nowMs);
-            if (queueAdmission.refused() && queue.remove(exchange)) {
-                refuse(
-                        exchange,
-                        ErrorKind.OVERLOADED,
-                        "the expected wait is " + queueAdmission.expectedWaitMs() + " ms");
-            }
+            refuseIfLate(exchange, nowMs);
+        }
+    }
+
+    /** Refuses a queued request that is expected to start too late. */
+    private void refuseIfLate(Exchange exchange, long nowMs) {
+        QueueAdmissionDecision admission = QueueAdmissionDecision.of(
+                exchange.schedulingAttributes(), queue.size(), statistics, upstreams.acceptedPerSecond(), nowMs);
+        if (admission.refused() && queue.remove(exchange)) {
+            long retryAfterMs = RetryAfter.ofWait(
+                    admission.expectedWaitMs(),
+                    statistics,
+                    exchange.deadlineMs() - nowMs,
+                    ThreadLocalRandom.current().nextDouble(),
+                    nowMs);
+            gateway.endWithProblem(
+                    exchange,
+                    ErrorKind.OVERLOADED,
+                    "the expected wait is " + admission.expectedWaitMs() + " ms",
+                    retryAfterMs);
         }
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 
@@ -53,6 +54,18 @@
         return list.stream().anyMatch(Upstream::usable);
     }
 
+    /** Returns the requests a second that all upstreams together accept, or empty if one has not announced a limit. */
+    OptionalDouble acceptedPerSecond() {
+        List<OptionalDouble> limits = list.stream()
+                .filter(Upstream::usable)
+                .map(upstream -> upstream.requestLimit().perSecond())
+                .toList();
+        return limits.isEmpty() || limits.stream().anyMatch(OptionalDouble::isEmpty)
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(
+                        limits.stream().mapToDouble(OptionalDouble::getAsDouble).sum());
+    }
+
     /** Returns whether there is an upstream to which a request has not been sent yet. */
     boolean anyUntried(Exchange exchange) {
         return list.stream()
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryAfter.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryAfter.java
@@ -32,10 +32,25 @@
      * @return the delay in milliseconds
      */
     public static long of(int queueLength, ServiceStatistics statistics, long remainingMs, double draw, long nowMs) {
+        return ofWait(statistics.expectedWaitMs(queueLength + 1), statistics, remainingMs, draw, nowMs);
+    }
+
+    /**
+     * Computes the retry delay of a request that was refused because of its expected wait.
+     *
+     * @param expectedWaitMs expected time until the request could have been started, in milliseconds
+     * @param statistics statistics of the service
+     * @param remainingMs time that the client will still wait for its response, in milliseconds
+     * @param draw uniformly distributed random number from 0 to 1, used for the jitter
+     * @param nowMs current time, in milliseconds
+     * @return the delay in milliseconds
+     */
+    public static long ofWait(
+            long expectedWaitMs, ServiceStatistics statistics, long remainingMs, double draw, long nowMs) {
         if (!statistics.hasProgressed(STALL_MS, nowMs)) {
             return maxDelayMs(remainingMs, draw);
         }
-        return Math.min(honouredDelayMs(remainingMs), statistics.expectedWaitMs(queueLength + 1));
+        return Math.min(honouredDelayMs(remainingMs), expectedWaitMs);
     }
 
     /**
