--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamingUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamingUpstream.java
@@ -24,10 +24,18 @@
     /** Output of a connection, which counts what was written. */
     final class Output {
 
+        private final Socket connection;
         private final OutputStream stream;
 
-        private Output(OutputStream stream) {
-            this.stream = stream;
+        private Output(Socket connection) throws IOException {
+            this.connection = connection;
+            this.stream = connection.getOutputStream();
+        }
+
+        /** Resets the connection. */
+        void reset() throws IOException {
+            connection.setSoLinger(true, 0);
+            connection.close();
         }
 
         void write(String text) throws IOException {
@@ -105,7 +113,7 @@
                     return;
                 }
                 requests.add(request);
-                script.respond(request, new Output(accepted.getOutputStream()));
+                script.respond(request, new Output(accepted));
             }
         } catch (IOException closed) {
             disconnected.countDown();
