Count responses that end with their connection as answered if the upstream still listens

Cause: only responses with a length or chunks proved prompt parts, because the end of others can't be told from a crash. At upstreams that answer without a length nothing was ever proven, so no prompt was quarantined; and a stream cut off by a crash between two events was no evidence.

Change: after such a response one connection is opened, which replaces the one that ended. If the upstream listens, the request was answered; if it refuses, it has crashed, and the request counts as lost with it.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -93,14 +93,16 @@
         return responseStarted;
     }
 
-    /**
-     * Returns whether a complete response was a success. A response that does not say where it ends is not counted,
-     * since its end can't be told from a crash.
-     */
+    /** Returns whether the response has a status that reports success. */
     boolean succeeded() {
+        HttpResponse response = head;
+        return response != null && response.status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
+    /** Returns whether the response says where it ends, so that its end can't be confused with a crash. */
+    boolean responseFramed() {
         HttpResponse response = head;
         return response != null
-                && response.status().codeClass() == HttpStatusClass.SUCCESS
                 && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
@@ -6,25 +6,25 @@
 import org.kingcuproad.policy.quarantine.UpstreamCrash;
 
 /** Detects crashes of a service's upstreams, and ends requests with prompts that crash upstreams. */
-final class CrashProtection {
+final class CrashProtection implements UpstreamCrashDetector.Listener {
 
     private static final String DETAIL = "upstreams crashed while they answered requests with parts of this prompt";
 
     private final Gateway gateway;
-    private final Runnable onCrash;
+    private final Runnable afterCrash;
     private final PromptCrashGuard guard;
     private final UpstreamCrashDetector detector;
 
     /**
      * Creates the protection of a service.
      *
-     * @param onCrash called after each crash, when there may be new quarantines
+     * @param afterCrash called after each crash, when there may be new quarantines
      */
-    CrashProtection(Gateway gateway, String service, Runnable onCrash) {
+    CrashProtection(Gateway gateway, String service, Runnable afterCrash) {
         this.gateway = gateway;
-        this.onCrash = onCrash;
+        this.afterCrash = afterCrash;
         this.guard = new PromptCrashGuard(service, new CrashGuardEnvironment(gateway));
-        this.detector = new UpstreamCrashDetector(gateway::probe, this::onCrash);
+        this.detector = new UpstreamCrashDetector(gateway::probe, this);
     }
 
     PromptCrashGuard guard() {
@@ -39,7 +39,8 @@
         }
     }
 
-    private void onCrash(Upstream upstream, List<List<String>> prompts) {
+    @Override
+    public void onCrash(Upstream upstream, List<List<String>> prompts) {
         gateway.metrics().count("upstream_crashes");
         gateway.log()
                 .event("upstream crashed")
@@ -53,16 +54,24 @@
                         upstream.entry().id(), upstream.entry().startedMs()),
                 prompts,
                 gateway.clock().steadyMs());
-        onCrash.run();
+        afterCrash.run();
     }
 
     /** Records a complete response. */
-    void onAnswered(Attempt attempt, long nowMs) {
-        if (attempt.succeeded()) {
-            guard.onAnswered(attempt.exchange().promptParts(), nowMs);
+    void onResponse(Attempt attempt) {
+        List<String> promptParts = attempt.exchange().promptParts();
+        if (attempt.succeeded() && attempt.responseFramed()) {
+            onAnswered(promptParts);
+        } else if (attempt.succeeded() && attempt.upstream().usable()) {
+            detector.onEndedWithConnection(attempt.upstream(), promptParts);
         }
     }
 
+    @Override
+    public void onAnswered(List<String> promptParts) {
+        guard.onAnswered(promptParts, gateway.clock().steadyMs());
+    }
+
     /**
      * Judges and reports what is known of crashes.
      *
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -294,7 +294,7 @@
 
     void onResponse(Attempt attempt, BufferedResponse response) {
         activeAttempts.remove(attempt);
-        crashProtection.onAnswered(attempt, nowMs());
+        crashProtection.onResponse(attempt);
         deliver(attempt.exchange(), response, attempt.upstream());
     }
 
@@ -313,7 +313,7 @@
     void onStreamEnd(Attempt attempt) {
         activeAttempts.remove(attempt);
         Exchange exchange = attempt.exchange();
-        crashProtection.onAnswered(attempt, nowMs());
+        crashProtection.onResponse(attempt);
         exchange.connection().sendEnd();
         gateway.onFinished(exchange, 200, "streamed", attempt.upstream().entry().id());
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -6,55 +6,90 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * Detects whether an upstream has crashed when it closes connections with requests in progress.
  *
  * <p>The ranks of a group also close connections when another rank fails, so the closed connection alone proves
- * nothing. A rank that is only stalled still accepts connections, while those to a crashed process are refused.
+ * nothing. A rank that is only stalled still accepts connections, while those to a crashed process are refused. In the
+ * same way a response that ends with its connection is told from one that was cut off by a crash.
  */
 final class UpstreamCrashDetector {
 
     private final BiConsumer<Upstream, Consumer<ProbeResult>> probe;
-    private final BiConsumer<Upstream, List<List<String>>> onCrash;
-    private final Map<Upstream, List<List<String>>> suspected = new HashMap<>();
-
-    /**
-     * Creates a detector.
-     *
-     * @param probe opens a connection to an upstream and reports the result
-     * @param onCrash receives a crashed upstream and the prompt parts of the requests lost there; it is called again
-     *     for requests whose loss is noticed later
-     */
-    UpstreamCrashDetector(
-            BiConsumer<Upstream, Consumer<ProbeResult>> probe, BiConsumer<Upstream, List<List<String>>> onCrash) {
+    private final Listener listener;
+    private final Map<Upstream, Suspicion> suspicions = new HashMap<>();
+
+    /** Receives what the detector finds out. */
+    interface Listener {
+
+        /**
+         * Receives requests that were lost with a crash. It is called again for requests whose loss is noticed later.
+         *
+         * @param upstream the upstream that crashed
+         * @param prompts prompt parts of the requests
+         */
+        void onCrash(Upstream upstream, List<List<String>> prompts);
+
+        /**
+         * Receives a request whose response was complete although it ended with its connection.
+         *
+         * @param promptParts prompt parts of the request
+         */
+        void onAnswered(List<String> promptParts);
+    }
+
+    /** Requests at an upstream that may have crashed: those that were cut off and those that may be complete. */
+    private record Suspicion(List<List<String>> lost, List<List<String>> ended) {}
+
+    UpstreamCrashDetector(BiConsumer<Upstream, Consumer<ProbeResult>> probe, Listener listener) {
         this.probe = probe;
-        this.onCrash = onCrash;
+        this.listener = listener;
     }
 
     /** Records that the connection of a request in progress ended without an action of this gateway. */
     void onDisconnected(Upstream upstream, List<String> promptParts) {
-        if (promptParts.isEmpty()) {
-            return;
+        if (!promptParts.isEmpty() && upstream.crashed()) {
+            listener.onCrash(upstream, List.of(promptParts));
+        } else if (!promptParts.isEmpty()) {
+            suspect(upstream).lost.add(promptParts);
         }
-        if (upstream.crashed()) {
-            onCrash.accept(upstream, List.of(promptParts));
-            return;
+    }
+
+    /** Records a successful response without a length, whose end is that of its connection. */
+    void onEndedWithConnection(Upstream upstream, List<String> promptParts) {
+        if (!promptParts.isEmpty() && !upstream.crashed()) {
+            suspect(upstream).ended.add(promptParts);
         }
-        List<List<String>> pending = suspected.get(upstream);
-        if (pending != null) {
-            pending.add(promptParts);
-            return;
+    }
+
+    private Suspicion suspect(Upstream upstream) {
+        Suspicion known = suspicions.get(upstream);
+        if (known != null) {
+            return known;
         }
-        suspected.put(upstream, new ArrayList<>(List.of(promptParts)));
+        Suspicion created = new Suspicion(new ArrayList<>(), new ArrayList<>());
+        suspicions.put(upstream, created);
         probe.accept(upstream, result -> onProbed(upstream, result));
+        return created;
     }
 
     private void onProbed(Upstream upstream, ProbeResult result) {
-        List<List<String>> prompts = suspected.remove(upstream);
-        if (result == ProbeResult.REFUSED && prompts != null) {
-            upstream.setCrashed();
-            onCrash.accept(upstream, List.copyOf(prompts));
+        Suspicion suspicion = suspicions.remove(upstream);
+        if (suspicion == null) {
+            return;
+        }
+        switch (result) {
+            case REFUSED -> {
+                upstream.setCrashed();
+                listener.onCrash(
+                        upstream,
+                        Stream.concat(suspicion.lost.stream(), suspicion.ended.stream())
+                                .toList());
+            }
+            case LISTENING -> suspicion.ended.forEach(listener::onAnswered);
+            case UNKNOWN -> {}
         }
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -17,8 +17,19 @@
     private final Upstream upstream = new Upstream(new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0));
     private final List<Consumer<ProbeResult>> probes = new ArrayList<>();
     private final List<List<List<String>>> crashes = new ArrayList<>();
-    private final UpstreamCrashDetector detector = new UpstreamCrashDetector(
-            (probed, result) -> probes.add(result), (crashed, prompts) -> crashes.add(prompts));
+    private final List<List<String>> answered = new ArrayList<>();
+    private final UpstreamCrashDetector detector =
+            new UpstreamCrashDetector((probed, result) -> probes.add(result), new UpstreamCrashDetector.Listener() {
+                @Override
+                public void onCrash(Upstream crashed, List<List<String>> prompts) {
+                    crashes.add(prompts);
+                }
+
+                @Override
+                public void onAnswered(List<String> promptParts) {
+                    answered.add(promptParts);
+                }
+            });
 
     @Test
     void reportsAllRequestsLostWithACrashAfterOneProbe() {
@@ -43,6 +54,20 @@
         assertThat(crashes).isEmpty();
     }
 
+    /** Guards against taking a stream that a crash cut off between two events for an answer. */
+    @Test
+    void tellsAResponseThatEndsWithItsConnectionFromACrash() {
+        detector.onEndedWithConnection(upstream, List.of("a"));
+        assertThat(answered).isEmpty();
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        assertThat(answered).containsExactly(List.of("a"));
+
+        detector.onEndedWithConnection(upstream, List.of("b"));
+        probes.get(1).accept(ProbeResult.REFUSED);
+        assertThat(answered).hasSize(1);
+        assertThat(crashes).containsExactly(List.of(List.of("b")));
+    }
+
     @Test
     void takesOnlyARefusedConnectionForACrash() {
         assertThat(ProbeResult.of(null)).isEqualTo(ProbeResult.LISTENING);
