Spare upstreams requests that another gateway has quarantined

Cause: when a gateway decided on a quarantine itself, it ended its requests that an upstream had not begun to answer; when it learned of one from another gateway or the store, it left them there.

Limit reports look up the upstreams once a report, and a private type no longer hides java.util.List.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashReportCodec.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashReportCodec.java
@@ -32,7 +32,7 @@
         DatagramText.write(message, report.service());
         message.writeInt((int) report.answers());
         writeItems(message, report.quarantineAgesMs().entrySet(), (buffer, quarantine) -> {
-            buffer.writeInt((int) (long) quarantine.getValue());
+            buffer.writeInt(quarantine.getValue().intValue());
             writeTexts(buffer, quarantine.getKey());
         });
         writeItems(message, report.lostPrompts().entrySet(), (buffer, crash) -> {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PromptCrashGuard.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PromptCrashGuard.java
@@ -42,6 +42,7 @@
     private final Set<QuarantinedPrompt> stored = new HashSet<>();
     private long nextReportMs;
     private long nextJudgementMs;
+    private Set<Set<String>> knownQuarantines = Set.of();
     private boolean decided;
 
     /** What the guard needs from its gateway. */
@@ -113,17 +114,22 @@
     /**
      * Judges the evidence and sends a report, where these are due.
      *
-     * @return whether there are new quarantines
+     * @return whether there are quarantines that were not in force at the last call
      */
     boolean sweep(long nowMs) {
-        boolean judged = nowMs >= nextJudgementMs && judge(nowMs);
+        if (nowMs >= nextJudgementMs) {
+            judge(nowMs);
+        }
         if (nowMs >= nextReportMs) {
             report(nowMs);
         }
-        return judged;
+        Set<Set<String>> inForce = quarantine.quarantined().keySet();
+        boolean added = !knownQuarantines.containsAll(inForce);
+        knownQuarantines = inForce;
+        return added;
     }
 
-    private boolean judge(long nowMs) {
+    private void judge(long nowMs) {
         nextJudgementMs = nowMs + JUDGE_INTERVAL_MS;
         Set<Set<String>> found = quarantine.judge(nowMs);
         found.forEach(parts -> environment.onQuarantined(
@@ -131,7 +137,6 @@
                 quarantine.crashesSince(nowMs - PromptQuarantine.MEMORY_MS).size()));
         decided |= !found.isEmpty();
         synchronizeStore();
-        return !found.isEmpty();
     }
 
     private void synchronizeStore() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QuarantineStore.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QuarantineStore.java
@@ -40,7 +40,7 @@
 
     private sealed interface Call {}
 
-    private record List() implements Call {}
+    private record ListAll() implements Call {}
 
     private record Save(QuarantinedPrompt prompt) implements Call {}
 
@@ -66,7 +66,7 @@
 
     /** Reads the stored quarantines. */
     void start() {
-        enqueue(new List());
+        enqueue(new ListAll());
     }
 
     void save(QuarantinedPrompt prompt) {
@@ -94,7 +94,7 @@
         }
         current = next;
         switch (next) {
-            case List list ->
+            case ListAll list ->
                 connection.call(HttpMethod.GET, dialect.relaxedListTarget(), NO_BODY, TIMEOUT_MS, this::onReply);
             case Save save ->
                 connection.call(
@@ -144,7 +144,7 @@
     /** Returns whether a call has its effect, also if another gateway had the same effect before. */
     private boolean isDone(Call call, HttpReply.Response response) {
         return switch (call) {
-            case List list -> response.ok() && read(response.body());
+            case ListAll list -> response.ok() && read(response.body());
             case Save save ->
                 response.ok() || response.status() == STATUS_CREATED || response.status() == STATUS_CONFLICT;
             case Delete delete -> response.ok() || response.status() == STATUS_NOT_FOUND;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamLimits.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamLimits.java
@@ -92,8 +92,9 @@
 
     /** Takes over what another gateway reports. */
     void onReport(LimitReport report, long nowMs) {
+        Collection<Upstream> known = upstreams.get();
         report.entries()
-                .forEach(entry -> upstreams.get().stream()
+                .forEach(entry -> known.stream()
                         .filter(upstream -> upstream.entry().id().equals(entry.upstreamId())
                                 && upstream.entry().startedMs() == entry.startedMs())
                         .forEach(upstream -> onEntry(upstream, report.sender(), entry, nowMs)));
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/PromptCrashGuardTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/PromptCrashGuardTest.java
@@ -122,6 +122,16 @@
         assertThat(third.quarantinedForMs(List.of("bad"), nowMs)).isPresent();
     }
 
+    /** Guards against leaving requests at upstreams that a quarantine of another gateway concerns. */
+    @Test
+    void tellsOnceWhenAnotherGatewayHasDecided() {
+        PromptCrashGuard restarted = guard("g1");
+        restarted.onReport(new CrashReport("g2", "desk", 10, Map.of(Set.of("bad"), 50L), Map.of(), List.of()), nowMs);
+
+        assertThat(restarted.sweep(nowMs)).isTrue();
+        assertThat(restarted.sweep(nowMs + 25)).isFalse();
+    }
+
     /** Guards against forgetting a quarantine when all gateways restart at the same time. */
     @Test
     void restoresQuarantinesFromTheStore() {
