Quarantine a prompt after three crashes instead of two

Cause: two crashes of other causes often have a part in common, above all while gateways have seen few answers.

Change: three crashes are needed, and a part must have been lost with half of all crashes of that time instead of a third.

CrashAttributionTest, PromptCrashGuardTest and PromptCrashTest pass.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/CrashAttribution.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/CrashAttribution.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -15,23 +16,17 @@
  */
 public final class CrashAttribution {
 
-    /** Number of crashes under the same part that chance alone rarely explains. */
-    private static final int MIN_CRASHES = 2;
-
     /**
-     * Number of crashes needed if they come at the same time, since VMs also fail together, or if different parts
-     * explain the crashes equally well.
+     * Number of crashes with the same part that chance rarely explains. Two crashes often have a popular part in
+     * common, above all while a gateway has seen few answers.
      */
-    private static final int MIN_AMBIGUOUS_CRASHES = 3;
-
-    /** Time within which crashes may have one common cause outside the requests, such as a power failure. */
-    private static final long CORRELATED_MS = 1_000;
+    private static final int MIN_CRASHES = 3;
 
     /**
      * A part explains crashes only if it was lost with at least one in this many of all crashes of that time; a part
      * that many requests have is lost with some of the crashes that have other causes.
      */
-    private static final int MAX_CRASHES_PER_EXPLAINED = 3;
+    private static final int MAX_CRASHES_PER_EXPLAINED = 2;
 
     private CrashAttribution() {}
 
@@ -64,10 +59,9 @@
                 .filter(candidate -> candidate.crashes.size() == most)
                 .map(Candidate::parts)
                 .collect(Collectors.toSet());
-        Set<Set<String>> mostSpecific = best.stream()
+        return best.stream()
                 .filter(parts -> best.stream().noneMatch(other -> isProperSubset(parts, other)))
                 .collect(Collectors.toSet());
-        return mostSpecific.size() > 1 && most < MIN_AMBIGUOUS_CRASHES ? Set.of() : mostSpecific;
     }
 
     private static Candidate candidate(String part, Collection<UpstreamCrash> crashes, Predicate<String> proven) {
@@ -84,16 +78,16 @@
     }
 
     private static boolean explainsEnough(Candidate candidate, Collection<UpstreamCrash> crashes) {
-        long firstMs =
-                candidate.crashes.stream().mapToLong(UpstreamCrash::atMs).min().orElse(0);
-        long lastMs =
-                candidate.crashes.stream().mapToLong(UpstreamCrash::atMs).max().orElse(0);
+        int explained = candidate.crashes.size();
+        if (explained < MIN_CRASHES) {
+            return false;
+        }
+        LongSummaryStatistics timesMs =
+                candidate.crashes.stream().mapToLong(UpstreamCrash::atMs).summaryStatistics();
         long inThatTime = crashes.stream()
-                .filter(crash -> crash.atMs() >= firstMs && crash.atMs() <= lastMs)
+                .filter(crash -> crash.atMs() >= timesMs.getMin() && crash.atMs() <= timesMs.getMax())
                 .count();
-        int needed = lastMs - firstMs < CORRELATED_MS ? MIN_AMBIGUOUS_CRASHES : MIN_CRASHES;
-        return candidate.crashes.size() >= needed
-                && (long) candidate.crashes.size() * MAX_CRASHES_PER_EXPLAINED >= inThatTime;
+        return (long) explained * MAX_CRASHES_PER_EXPLAINED >= inThatTime;
     }
 
     private static Set<String> intersection(Set<String> first, Set<String> second) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/PromptQuarantine.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/PromptQuarantine.java
@@ -21,7 +21,7 @@
 public final class PromptQuarantine {
 
     /**
-     * Time for which crashes, proofs and quarantines are remembered. A prompt that still crashes upstreams costs two
+     * Time for which crashes, proofs and quarantines are remembered. A prompt that still crashes upstreams costs three
      * crashes each time it is learned again.
      */
     public static final long MEMORY_MS = 600_000;
