--- a/review/standin/review/Case4.java
+++ b/review/standin/review/Case4.java
@@ -15,7 +15,9 @@
 public final class Case4 {
 
     private static final int SERVERS = 6;
-    private static final int PARTS = 20;
+    /** Number of parts of a prompt; another number is tried with the variable PARTS. */
+    private static final int PARTS = Integer.parseInt(System.getenv().getOrDefault("PARTS", "20"));
+
     private static final int SOUND_CLIENTS = 8;
     private static final long RUN_MS = 40_000;
     private static final long BAD_FROM_MS = 5_000;
