--- a/review/standin/review/Case1.java
+++ b/review/standin/review/Case1.java
@@ -20,7 +20,8 @@
     private static final long TROUBLE_FROM_MS = 4_000;
     private static final long TROUBLE_FOR_MS = 5_500;
     private static final int BREAK_ONE_IN = 50;
-    private static final int PAUSE_MS = 60;
+    private static final int PAUSE_MS = 40;
+    private static final int WORK_MS = 20;
 
     private static Rig rig;
     private static Rig.Program gateway;
@@ -77,7 +78,8 @@
     }
 
     private static boolean serve(Deployment.Server server, Http.Message request, Socket connection)
-            throws IOException {
+            throws IOException, InterruptedException {
+        Thread.sleep(WORK_MS);
         String id = request.header("kingcuproad-attempt-id");
         byte[] message = Http.encode(
                 "HTTP/1.1 200 OK",
--- a/review/standin/review/Rig.java
+++ b/review/standin/review/Rig.java
@@ -3,6 +3,7 @@
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -21,8 +22,6 @@
     static final String KEY = "key-of-tenant-1";
     static final String TENANT = "tenant-1";
 
-    /** First port for datagrams between the gateways; each has an address of its own. */
-    private static final int PEER_PORT = 7_340;
 
     /** A program under test. */
     static final class Program {
@@ -72,6 +71,9 @@
     final String network = "127." + (100 + ProcessHandle.current().pid() % 100) + ".";
 
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    /** First port for datagrams between the gateways, the same on all their addresses. */
+    private final int peerPort;
+
     private final BufferedWriter record;
     private final long startNanos = System.nanoTime();
     private final List<AutoCloseable> open = new ArrayList<>();
@@ -80,6 +82,9 @@
     Rig(Path caseFolder) throws IOException {
         directory = Files.createTempDirectory("review");
         record = Files.newBufferedWriter(caseFolder.resolve("record.txt"));
+        try (DatagramSocket free = new DatagramSocket(new InetSocketAddress(network + "0.1", 0))) {
+            peerPort = Math.min(free.getLocalPort(), 65_000);
+        }
         note("trouble " + (trouble ? "on" : "off"));
         Runtime.getRuntime().addShutdownHook(new Thread(this::endPrograms));
     }
@@ -151,7 +156,7 @@
                 "provider":{"address":"%s","form":"objects","writes_per_s":400,"reads_per_s":2000,"history_s":20,
                 "value_bytes":1048576,"ttl_min_ms":1000}}
                 """
-                .formatted(name, ip, zone, ip, front, ip, ready, PEER_PORT, PEER_PORT + 15, storeAddress);
+                .formatted(name, ip, zone, ip, front, ip, ready, peerPort, peerPort + 15, storeAddress);
         return program(name, "gateway", settings, new InetSocketAddress(ip, front), new InetSocketAddress(ip, ready));
     }
 
