--- a/review/standin/review/Case2.java
+++ b/review/standin/review/Case2.java
@@ -3,25 +3,35 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
-import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** One server answers one stream with bytes that are no answer, without end. */
+/** A gateway gets SIGTERM while clients read streams on kept connections, one stream after the other. */
 public final class Case2 {
 
-    private static final int CLIENTS = 10;
-    private static final long RUN_MS = 18_000;
-    private static final long STREAM_AT_MS = 4_000;
-    private static final int STREAMS = 8;
-    private static final int EVENTS = 28;
-    private static final int CHUNK_BYTES = 8_000;
+    private static final int CLIENTS = 12;
+    private static final int EVENTS = 60;
+    private static final int EVENT_EVERY_MS = 80;
+    private static final long SIGTERM_AT_MS = 12_000;
+    private static final long GRACE_MS = 8_000;
+    private static final long RUN_MS = SIGTERM_AT_MS + GRACE_MS + 2_000;
+
+    /** The rule leaves out requests that are sent no later than this after SIGTERM and run near the end. */
+    private static final long LEFT_OUT_MS = 3_000;
 
     private static Rig rig;
-    private static String troubled = "";
+    private static Rig.Program gateway;
+    private static long startMs;
+    private static volatile long sigtermMs = Long.MAX_VALUE;
+    private static final Set<String> PASSED_ON = ConcurrentHashMap.newKeySet();
+    private static final AtomicInteger WHOLE = new AtomicInteger();
+    private static final AtomicInteger LOST = new AtomicInteger();
+    private static final AtomicInteger LEFT_OUT = new AtomicInteger();
 
     private Case2() {}
 
@@ -34,135 +44,120 @@
                 "main",
                 Deployment.configuration(
                         3,
-                        List.of(
-                                Lookups.route(),
-                                Deployment.route("/draft/", "streaming", Deployment.MODELS, 8_000, 400, 2)),
+                        List.of(Deployment.route("/draft/", "streaming", Deployment.MODELS, 8_000, 400, 2)),
                         List.of(Rig.KEY)));
-        Deployment.servers(rig, store, 3, Deployment.ORDERS, 3, (server, request, connection) -> {
-            Thread.sleep(20);
-            rig.note("server " + server.id + " runs " + request.header("kingcuproad-attempt-id"));
-            server.answer(request, connection);
-            return true;
-        });
-        Deployment.servers(rig, store, 4, Deployment.MODELS, 6, Case2::stream);
-        Rig.Program gateway = rig.gateway("gateway-1", 1, store);
+        Deployment.servers(rig, store, 4, Deployment.MODELS, 6, Case2::serve);
+        gateway = rig.gateway("gateway-1", 1, store);
         rig.awaitReady(gateway);
-        long startMs = rig.nowMs();
-        Lookups lookups = new Lookups(rig, gateway);
-        lookups.start(CLIENTS, startMs + RUN_MS);
-        lookups.watchReadiness(startMs + RUN_MS);
-        Thread[] clients = new Thread[STREAMS];
-        for (int number = 0; number < STREAMS; number++) {
-            String id = "stream-" + number;
-            long atMs = startMs + STREAM_AT_MS + number * 500L;
-            clients[number] = Thread.ofVirtual().start(() -> readStream(gateway, id, atMs));
+        startMs = rig.nowMs();
+        Thread[] clients = new Thread[CLIENTS];
+        for (int number = 0; number < CLIENTS; number++) {
+            String name = "client-" + number;
+            long delayMs = (long) number * EVENTS * EVENT_EVERY_MS / CLIENTS;
+            clients[number] = Thread.ofVirtual().start(() -> run(name, delayMs));
+        }
+        Thread.sleep(SIGTERM_AT_MS);
+        if (rig.trouble) {
+            sigtermMs = rig.nowMs();
+            rig.note("the gateway gets SIGTERM");
+            gateway.signal("TERM");
+            for (long left = GRACE_MS; left > 0 && gateway.alive(); left -= 20) {
+                Thread.sleep(20);
+            }
+            rig.note(gateway.alive() ? "the gateway gets SIGKILL" : "the gateway has ended by itself");
+            if (gateway.alive()) {
+                gateway.signal("KILL");
+            }
         }
-        boolean broken = lookups.broken();
         for (Thread client : clients) {
             client.join();
         }
-        if (!gateway.alive()) {
-            rig.finish(1, "the gateway has ended");
+        String counts = WHOLE + " whole streams, " + LOST + " lost, " + LEFT_OUT
+                + " cut that the rule leaves out (sent no later than 3 s after SIGTERM)";
+        if (WHOLE.get() < CLIENTS) {
+            rig.finish(2, "could not run: " + counts);
         }
-        rig.finish(broken ? 1 : 0, broken ? "CONFIG broken: the gateway hung" : "held");
+        boolean broken = LOST.get() > 0;
+        rig.finish(broken ? 1 : 0, (broken ? "LOST broken: " : "held: ") + counts);
     }
 
-    private static boolean stream(Deployment.Server server, Http.Message request, Socket connection)
+    private static boolean serve(Deployment.Server server, Http.Message request, Socket connection)
             throws IOException, InterruptedException {
         String id = request.header("kingcuproad-attempt-id");
+        PASSED_ON.add(id);
+        rig.note("server " + server.id + " runs " + id);
         OutputStream out = connection.getOutputStream();
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nKingcuproad-Attempt-Id: " + id
                         + "\r\nKingcuproad-Server-Seal: " + server.seal() + "\r\nTransfer-Encoding: chunked\r\n\r\n")
                 .getBytes(StandardCharsets.UTF_8));
-        if (rig.trouble && inTrouble(server)) {
-            flood(server, id, out);
-            return false;
-        }
-        rig.note("server " + server.id + " runs " + id + " and answers whole");
-        for (int event = 1; event <= EVENTS; event++) {
-            Thread.sleep(30);
-            out.write(chunk(("id: " + event + "\ndata: piece " + event + " of " + id + "\n\n")
-                    .getBytes(StandardCharsets.UTF_8)));
+        String resumed = request.header("last-event-id");
+        int first = resumed.isEmpty() ? 1 : Integer.parseInt(resumed) + 1;
+        for (int event = first; event <= EVENTS; event++) {
+            Thread.sleep(EVENT_EVERY_MS);
+            byte[] piece = ("id: " + event + "\ndata: piece " + event + " of " + id + "\n\n")
+                    .getBytes(StandardCharsets.UTF_8);
+            out.write((Integer.toHexString(piece.length) + "\r\n").getBytes(StandardCharsets.UTF_8));
+            out.write(piece);
+            out.write("\r\n".getBytes(StandardCharsets.UTF_8));
         }
         out.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
         return true;
     }
 
-    /** One server is in trouble: the one that gets the first stream, from then on. */
-    private static synchronized boolean inTrouble(Deployment.Server server) {
-        troubled = troubled.isEmpty() ? server.id : troubled;
-        return troubled.equals(server.id);
-    }
-
-    /** Sends line ends until the caller closes. */
-    private static void flood(Deployment.Server server, String id, OutputStream out) {
-        rig.note("server " + server.id + " runs " + id + " and sends bytes that are no answer until it is closed");
-        byte[] lineEnds = new byte[CHUNK_BYTES];
-        Arrays.fill(lineEnds, (byte) '\n');
-        byte[] chunk = chunk(lineEnds);
-        long sent = 0;
-        try {
-            while (true) {
-                out.write(chunk);
-                sent += CHUNK_BYTES;
-            }
-        } catch (IOException closed) {
-            rig.note("server " + server.id + " is closed after " + sent + " bytes that are no answer");
-        }
-    }
-
-    private static byte[] chunk(byte[] bytes) {
-        byte[] size = (Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.UTF_8);
-        byte[] chunk = Arrays.copyOf(size, size.length + bytes.length + 2);
-        System.arraycopy(bytes, 0, chunk, size.length, bytes.length);
-        chunk[chunk.length - 2] = '\r';
-        chunk[chunk.length - 1] = '\n';
-        return chunk;
-    }
-
-    /** Sends one stream and reads its answer; the client leaves after two seconds without an event. */
-    private static void readStream(Rig.Program gateway, String id, long atMs) {
+    /** Reads one stream after the other on a kept connection, until the connection ends. */
+    private static void run(String name, long delayMs) {
+        String id = "";
+        long sentMs = 0;
+        int events = 0;
         try {
-            Thread.sleep(Math.max(0, atMs - rig.nowMs()));
-            rig.note("client sends " + id);
+            Thread.sleep(delayMs);
             try (Rig.Client client = new Rig.Client(gateway.front, 2_000)) {
-                client.send(
-                        "POST",
-                        "/draft/x",
-                        id,
-                        8_000,
-                        Map.of("Kingcuproad-Model", "m", "Kingcuproad-Token-Count", "700,140"),
-                        "prompt".getBytes(StandardCharsets.UTF_8));
-                readEvents(client, id);
-            } catch (SocketException ended) {
-                rig.note("client: " + id + " is cut: " + ended.getMessage());
-            } catch (IOException failed) {
-                rig.note("client: " + id + " leaves: " + failed.getMessage());
+                for (int count = 0; rig.nowMs() < startMs + RUN_MS; count++) {
+                    id = name + "-" + count;
+                    events = 0;
+                    client.send(
+                            "POST",
+                            "/draft/x",
+                            id,
+                            8_000,
+                            Map.of("Kingcuproad-Model", "m", "Kingcuproad-Token-Count", "700,300"),
+                            "prompt".getBytes(StandardCharsets.UTF_8));
+                    sentMs = rig.nowMs();
+                    Http.Message head = Http.readHead(client.in);
+                    if (head == null || head.status() != 200) {
+                        rig.note("client: " + id + (head == null ? " is closed unanswered" : " gets " + head.status()));
+                        judge(id, sentMs, head != null);
+                        return;
+                    }
+                    for (byte[] chunk = Http.readChunk(client.in); chunk.length > 0; ) {
+                        events += new String(chunk, StandardCharsets.UTF_8).contains("data:") ? 1 : 0;
+                        chunk = Http.readChunk(client.in);
+                    }
+                    WHOLE.incrementAndGet();
+                    rig.note("client: " + id + " is whole after " + (rig.nowMs() - sentMs) + " ms");
+                    if (head.header("connection").equalsIgnoreCase("close")) {
+                        return;
+                    }
+                }
+            } catch (IOException ended) {
+                rig.note("client: " + id + ", sent " + (sentMs - sigtermMs) + " ms after SIGTERM, ends after "
+                        + (rig.nowMs() - sentMs) + " ms and " + events + " events: " + ended.getMessage());
+                judge(id, sentMs, false);
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static void readEvents(Rig.Client client, String id) throws IOException {
-        Http.Message head = Http.readHead(client.in);
-        if (head == null || head.status() != 200) {
-            rig.note("client: " + id + " gets " + (head == null ? "no answer" : "status " + head.status()));
+    /** Judges a request whose connection ended, by the rule LOST. */
+    private static void judge(String id, long sentMs, boolean answered) {
+        if (answered || !PASSED_ON.contains(id)) {
             return;
         }
-        long bytes = 0;
-        long lastEventMs = rig.nowMs();
-        int events = 0;
-        for (byte[] chunk = Http.readChunk(client.in); chunk.length > 0; chunk = Http.readChunk(client.in)) {
-            bytes += chunk.length;
-            if (new String(chunk, StandardCharsets.UTF_8).contains("data:")) {
-                events++;
-                lastEventMs = rig.nowMs();
-            } else if (rig.nowMs() - lastEventMs > 2_000) {
-                rig.note("client: " + id + " leaves after two seconds without an event and " + bytes + " bytes");
-                return;
-            }
+        if (sentMs - sigtermMs > LEFT_OUT_MS) {
+            LOST.incrementAndGet();
+        } else {
+            LEFT_OUT.incrementAndGet();
         }
-        rig.note("client: " + id + " gets " + events + " events");
     }
 }
--- a/review/standin/review/Case5.java
+++ b/review/standin/review/Case5.java
@@ -5,39 +5,48 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A gateway gets SIGTERM while clients read streams on kept connections, one stream after the other. */
+/** One part of long prompts crashes each server that begins to write an answer on it. */
 public final class Case5 {
 
-    private static final int CLIENTS = 12;
-    private static final int EVENTS = 60;
-    private static final int EVENT_EVERY_MS = 80;
-    private static final long SIGTERM_AT_MS = 12_000;
-    private static final long GRACE_MS = 8_000;
-    private static final long RUN_MS = SIGTERM_AT_MS + GRACE_MS + 2_000;
+    private static final int SERVERS = 6;
+    /** Number of parts of a prompt; another number is tried with the variable PARTS. */
+    private static final int PARTS = Integer.parseInt(System.getenv().getOrDefault("PARTS", "20"));
 
-    /** The rule leaves out requests that are sent no later than this after SIGTERM and run near the end. */
-    private static final long LEFT_OUT_MS = 3_000;
+    private static final int SOUND_CLIENTS = 8;
+    private static final long RUN_MS = 40_000;
+    private static final long BAD_FROM_MS = 5_000;
+    private static final long BAD_EVERY_MS = 1_500;
+    private static final long DOWN_MS = 3_000;
+    private static final long STABLE_WINDOW_MS = 3_000;
+    private static final int CRASHES_BEFORE = 5;
+    private static final int ALLOWED_AFTER = 3;
+    private static final int EVENTS = 10;
+    /** Id of the part that crashes servers; another one is tried with the variable PART. */
+    private static final String BAD_PART = System.getenv().getOrDefault("PART", "bad0bad0");
 
     private static Rig rig;
-    private static Rig.Program gateway;
-    private static long startMs;
-    private static volatile long sigtermMs = Long.MAX_VALUE;
-    private static final Set<String> PASSED_ON = ConcurrentHashMap.newKeySet();
-    private static final AtomicInteger WHOLE = new AtomicInteger();
-    private static final AtomicInteger LOST = new AtomicInteger();
-    private static final AtomicInteger LEFT_OUT = new AtomicInteger();
+    private static Store store;
+
+    /** Place of the part that crashes servers, counted from 1; another place is tried with the variable PLACE. */
+    private static final int BAD_PLACE =
+            Integer.parseInt(System.getenv().getOrDefault("PLACE", "18"));
+
+    private static final List<Long> CRASHES_MS = new CopyOnWriteArrayList<>();
+    private static final List<Long> BAD_ARRIVALS_MS = new CopyOnWriteArrayList<>();
+    private static final AtomicInteger SOUND_WHOLE = new AtomicInteger();
+    private static final AtomicInteger SOUND_LOST = new AtomicInteger();
 
     private Case5() {}
 
     public static void main(String[] arguments) throws Exception {
         rig = new Rig(Path.of(arguments[0]));
-        Store store = rig.keep(new Store(rig.network + "2.1"));
+        store = rig.keep(new Store(rig.network + "2.1"));
         store.start();
         store.put(
                 "config",
@@ -46,118 +55,149 @@
                         3,
                         List.of(Deployment.route("/draft/", "streaming", Deployment.MODELS, 8_000, 400, 2)),
                         List.of(Rig.KEY)));
-        Deployment.servers(rig, store, 4, Deployment.MODELS, 6, Case5::serve);
-        gateway = rig.gateway("gateway-1", 1, store);
-        rig.awaitReady(gateway);
-        startMs = rig.nowMs();
-        Thread[] clients = new Thread[CLIENTS];
-        for (int number = 0; number < CLIENTS; number++) {
-            String name = "client-" + number;
-            long delayMs = (long) number * EVENTS * EVENT_EVERY_MS / CLIENTS;
-            clients[number] = Thread.ofVirtual().start(() -> run(name, delayMs));
+        Deployment.servers(rig, store, 4, Deployment.MODELS, SERVERS, Case5::serve);
+        List<Rig.Program> gateways = new ArrayList<>();
+        for (int number = 1; number <= 2; number++) {
+            gateways.add(rig.gateway("gateway-" + number, number, store));
+        }
+        for (Rig.Program gateway : gateways) {
+            rig.awaitReady(gateway);
+        }
+        long startMs = rig.nowMs();
+        List<Thread> clients = new ArrayList<>();
+        for (int number = 0; number < SOUND_CLIENTS; number++) {
+            String name = "sound-" + number;
+            Rig.Program gateway = gateways.get(number % gateways.size());
+            clients.add(Thread.ofVirtual().start(() -> {
+                for (int count = 0; rig.nowMs() < startMs + RUN_MS; count++) {
+                    call(gateway, name + "-" + count, false);
+                    pause(200);
+                }
+            }));
         }
-        Thread.sleep(SIGTERM_AT_MS);
         if (rig.trouble) {
-            sigtermMs = rig.nowMs();
-            rig.note("the gateway gets SIGTERM");
-            gateway.signal("TERM");
-            for (long left = GRACE_MS; left > 0 && gateway.alive(); left -= 20) {
-                Thread.sleep(20);
-            }
-            rig.note(gateway.alive() ? "the gateway gets SIGKILL" : "the gateway has ended by itself");
-            if (gateway.alive()) {
-                gateway.signal("KILL");
-            }
+            clients.add(Thread.ofVirtual().start(() -> {
+                pause(BAD_FROM_MS);
+                for (int count = 0; rig.nowMs() < startMs + RUN_MS; count++) {
+                    String id = "bad-" + count;
+                    Rig.Program gateway = gateways.get(count % gateways.size());
+                    Thread.ofVirtual().start(() -> call(gateway, id, true));
+                    pause(BAD_EVERY_MS);
+                }
+            }));
         }
         for (Thread client : clients) {
             client.join();
         }
-        String counts = WHOLE + " whole streams, " + LOST + " lost, " + LEFT_OUT
-                + " cut that the rule leaves out (sent no later than 3 s after SIGTERM)";
-        if (WHOLE.get() < CLIENTS) {
+        long boundMs = CRASHES_MS.size() < CRASHES_BEFORE
+                ? Long.MAX_VALUE
+                : CRASHES_MS.get(CRASHES_BEFORE - 1) + STABLE_WINDOW_MS;
+        long after = BAD_ARRIVALS_MS.stream().filter(atMs -> atMs > boundMs).count();
+        String counts = CRASHES_MS.size() + " crashes, " + BAD_ARRIVALS_MS.size()
+                + " requests with the part reached servers, " + after + " of them later than " + STABLE_WINDOW_MS
+                + " ms after the fifth crash; sound streams: " + SOUND_WHOLE + " whole, " + SOUND_LOST + " not";
+        if (SOUND_WHOLE.get() < 100) {
             rig.finish(2, "could not run: " + counts);
         }
-        boolean broken = LOST.get() > 0;
-        rig.finish(broken ? 1 : 0, (broken ? "LOST broken: " : "held: ") + counts);
+        boolean broken = after > ALLOWED_AFTER;
+        rig.finish(broken ? 1 : 0, (broken ? "BUDGET broken: " : "held: ") + counts);
     }
 
     private static boolean serve(Deployment.Server server, Http.Message request, Socket connection)
             throws IOException, InterruptedException {
         String id = request.header("kingcuproad-attempt-id");
-        PASSED_ON.add(id);
-        rig.note("server " + server.id + " runs " + id);
+        boolean bad = request.header("kingcuproad-prompt-prefix").contains(BAD_PART);
+        if (bad) {
+            BAD_ARRIVALS_MS.add(rig.nowMs());
+        }
+        rig.note("server " + server.id + " runs " + id + (bad ? ", which has the part that crashes it" : ""));
+        Thread.sleep(60);
         OutputStream out = connection.getOutputStream();
         out.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nKingcuproad-Attempt-Id: " + id
                         + "\r\nKingcuproad-Server-Seal: " + server.seal() + "\r\nTransfer-Encoding: chunked\r\n\r\n")
                 .getBytes(StandardCharsets.UTF_8));
+        if (bad) {
+            crash(server, id);
+            return false;
+        }
         String resumed = request.header("last-event-id");
         int first = resumed.isEmpty() ? 1 : Integer.parseInt(resumed) + 1;
         for (int event = first; event <= EVENTS; event++) {
-            Thread.sleep(EVENT_EVERY_MS);
             byte[] piece = ("id: " + event + "\ndata: piece " + event + " of " + id + "\n\n")
                     .getBytes(StandardCharsets.UTF_8);
             out.write((Integer.toHexString(piece.length) + "\r\n").getBytes(StandardCharsets.UTF_8));
             out.write(piece);
             out.write("\r\n".getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(30);
         }
         out.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
         return true;
     }
 
-    /** Reads one stream after the other on a kept connection, until the connection ends. */
-    private static void run(String name, long delayMs) {
-        String id = "";
-        long sentMs = 0;
-        int events = 0;
-        try {
-            Thread.sleep(delayMs);
-            try (Rig.Client client = new Rig.Client(gateway.front, 2_000)) {
-                for (int count = 0; rig.nowMs() < startMs + RUN_MS; count++) {
-                    id = name + "-" + count;
-                    events = 0;
-                    client.send(
-                            "POST",
-                            "/draft/x",
-                            id,
-                            8_000,
-                            Map.of("Kingcuproad-Model", "m", "Kingcuproad-Token-Count", "700,300"),
-                            "prompt".getBytes(StandardCharsets.UTF_8));
-                    sentMs = rig.nowMs();
-                    Http.Message head = Http.readHead(client.in);
-                    if (head == null || head.status() != 200) {
-                        rig.note("client: " + id + (head == null ? " is closed unanswered" : " gets " + head.status()));
-                        judge(id, sentMs, head != null);
-                        return;
-                    }
-                    for (byte[] chunk = Http.readChunk(client.in); chunk.length > 0; ) {
-                        events += new String(chunk, StandardCharsets.UTF_8).contains("data:") ? 1 : 0;
-                        chunk = Http.readChunk(client.in);
-                    }
-                    WHOLE.incrementAndGet();
-                    rig.note("client: " + id + " is whole after " + (rig.nowMs() - sentMs) + " ms");
-                    if (head.header("connection").equalsIgnoreCase("close")) {
-                        return;
-                    }
-                }
-            } catch (IOException ended) {
-                rig.note("client: " + id + ", sent " + (sentMs - sigtermMs) + " ms after SIGTERM, ends after "
-                        + (rig.nowMs() - sentMs) + " ms and " + events + " events: " + ended.getMessage());
-                judge(id, sentMs, false);
+    /** Ends the server and starts it again some seconds later, with a new time of birth. */
+    private static void crash(Deployment.Server server, String id) {
+        CRASHES_MS.add(rig.nowMs());
+        rig.note("server " + server.id + " crashes on " + id);
+        server.crash();
+        Thread.ofVirtual().start(() -> {
+            pause(DOWN_MS);
+            try {
+                server.born = System.currentTimeMillis();
+                server.restart();
+                store.put("servers", server.id, server.entry("ready"));
+                rig.note("server " + server.id + " is back");
+            } catch (IOException failed) {
+                rig.note("server " + server.id + " can't start again: " + failed.getMessage());
             }
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
+        });
+    }
+
+    /** Returns the prompt of a request: all parts but the bad one and the last are shared by all requests. */
+    private static String prompt(String id, boolean bad) {
+        StringBuilder prompt = new StringBuilder();
+        for (int place = 1; place < PARTS; place++) {
+            String part = bad && place == BAD_PLACE ? BAD_PART : String.format("5c1e%04x", place);
+            prompt.append(part).append(":40,");
         }
+        return prompt + String.format("%08x", id.hashCode()) + ":100";
     }
 
-    /** Judges a request whose connection ended, by the rule LOST. */
-    private static void judge(String id, long sentMs, boolean answered) {
-        if (answered || !PASSED_ON.contains(id)) {
-            return;
+    private static void call(Rig.Program gateway, String id, boolean bad) {
+        String outcome;
+        try (Rig.Client client = new Rig.Client(gateway.front, 2_000)) {
+            client.send(
+                    "POST",
+                    "/draft/x",
+                    id,
+                    8_000,
+                    Map.of(
+                            "Kingcuproad-Model", "m",
+                            "Kingcuproad-Token-Count", "860,50",
+                            "Kingcuproad-Prompt-Prefix", prompt(id, bad)),
+                    "prompt".getBytes(StandardCharsets.UTF_8));
+            Http.Message head = Http.readHead(client.in);
+            outcome = head == null ? "closed" : "status " + head.status();
+            if (head != null && head.status() == 200) {
+                StringBuilder text = new StringBuilder();
+                for (byte[] chunk = Http.readChunk(client.in); chunk.length > 0; chunk = Http.readChunk(client.in)) {
+                    text.append(new String(chunk, StandardCharsets.UTF_8));
+                }
+                outcome = text.toString().split("data:", -1).length - 1 == EVENTS ? "whole" : "incomplete";
+            }
+        } catch (IOException failed) {
+            outcome = "broken off: " + failed.getMessage();
         }
-        if (sentMs - sigtermMs > LEFT_OUT_MS) {
-            LOST.incrementAndGet();
-        } else {
-            LEFT_OUT.incrementAndGet();
+        if (!bad) {
+            (outcome.equals("whole") ? SOUND_WHOLE : SOUND_LOST).incrementAndGet();
+        }
+        rig.note("client: " + id + ": " + outcome);
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 }
