--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -6,11 +6,12 @@
   echo "build first: the build of deploy/system.toml, then review/build.sh" >&2
   exit 2
 fi
+rm -f "review/$1/record.txt"
 timeout -k 5 112 "$JAVA_HOME/bin/java" -Xmx1g -cp target/review "review.Case$1" "review/$1"
 code=$?
 if [ "$code" -eq 0 ] || [ "$code" -eq 1 ]; then
   # An uncaught exception also ends a JVM with 1; only a recorded verdict counts.
-  grep -q 'verdict: ' "review/$1/record.txt" || code=2
+  grep -qs 'verdict: ' "review/$1/record.txt" || code=2
 else
   code=2
 fi
