Reject requests that a stopping gateway can't finish

Cause: a response whose head was sent before the shutdown has no "Connection: close", so its client sends the next request on the connection as soon as the response ends.

What is not admitted gets 503 shutting-down with Retry-After 0 at once, since another gateway can serve it. A connection is not closed within 100 ms of a response, so that a client that sends its next request at once gets this answer and not a closed connection.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -41,6 +41,12 @@
     /** Time that the client has to read the last response and close, before the connection is closed. */
     private static final long LINGER_MS = 1_000;
 
+    /**
+     * Time after a response in which the client may send its next request. Closing the connection meanwhile would leave
+     * the client without an answer that says whether that request has run.
+     */
+    private static final long NEXT_REQUEST_MS = 100;
+
     /** Time in which the first request of a new connection is expected; clients connect because they have one. */
     private static final long FIRST_REQUEST_MS = 1_000;
 
@@ -281,8 +287,9 @@
      * @param nowMs current time, in milliseconds
      */
     void closeIfIdle(long nowMs) {
-        boolean firstRequestExpected = !requestReceived && nowMs - openedMs < FIRST_REQUEST_MS;
-        if (!requestInProgress && head == null && receivingSinceMs < 0 && !firstRequestExpected) {
+        boolean requestExpected =
+                requestReceived ? nowMs - lastActivityMs < NEXT_REQUEST_MS : nowMs - openedMs < FIRST_REQUEST_MS;
+        if (!requestInProgress && head == null && receivingSinceMs < 0 && !requestExpected) {
             closing = true;
             channel.close();
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -86,12 +86,11 @@
     private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
-    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private @Nullable ClientListener listener;
     private long acceptedConnections;
     private long lastSweepSteadyMs;
     private long lastSweepWallMs;
-    private final ShutdownSequence shutdown = new ShutdownSequence();
+    private final GracefulShutdown shutdown;
     private boolean lastReady;
 
     /**
@@ -110,6 +109,7 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
         this.storeView = new StoreView(log, clock, settings, this::onStoreViewChanged);
         this.configurationWatcher = new StoreWatcher<>(
                 dialect.configuration(),
@@ -177,7 +177,7 @@
             ClientListener opened =
                     ClientListener.open(eventLoop, settings.clientAddress(), storeView::limits, this::createConnection);
             listener = opened;
-            BindFailureReporter bindFailures = new BindFailureReporter(log, stopped);
+            BindFailureReporter bindFailures = new BindFailureReporter(log, shutdown.stopped());
             bindFailures.stopOnFailure(opened.bound());
             bindFailures.stopOnFailure(StatusServer.listen(eventLoop, settings.readyAddress(), this::readiness));
             bindFailures.logFailure(StatusServer.listen(
@@ -203,19 +203,12 @@
      * @return completes normally after {@link #drain}, or exceptionally if the gateway can't bind an address
      */
     public CompletableFuture<Void> stopped() {
-        return stopped;
+        return shutdown.stopped();
     }
 
     /** Starts a graceful shutdown: reports not ready, finishes open requests and stops within the grace period. */
     public void drain() {
-        eventLoop.execute(() -> {
-            if (!draining()) {
-                shutdown.start(clock.steadyMs());
-                log.event("gateway draining")
-                        .field("connections", connections.size())
-                        .write();
-            }
-        });
+        eventLoop.execute(() -> shutdown.start(connections.size(), clock.steadyMs()));
     }
 
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
@@ -295,6 +288,10 @@
         return shutdown.started();
     }
 
+    GracefulShutdown shutdown() {
+        return shutdown;
+    }
+
     private boolean ready() {
         return storeView.ready() && !draining();
     }
@@ -462,36 +459,14 @@
                     .field("leaving", draining())
                     .write();
         }
-        if (draining() && !stopped.isDone()) {
-            continueShutdown(nowMs);
-        }
+        shutdown.sweep(listener, connections, this::close, nowMs);
     }
 
-    private void continueShutdown(long nowMs) {
-        ClientListener open = listener;
-        if (shutdown.closesIdleConnections(nowMs)) {
-            List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
-        }
-        if (open != null && shutdown.stopsListening(connections.size(), settings.drainGraceMs(), nowMs)) {
-            open.stop();
-        }
-        boolean listening = open != null && !open.stopped();
-        if (!listening && shutdown.isComplete(connections.size(), settings.drainGraceMs(), nowMs)) {
-            stop(shutdown.durationMs(nowMs), nowMs);
-        }
-    }
-
-    private void stop(long drainingForMs, long nowMs) {
-        List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
-        log.event("gateway stopped")
-                .field("connections", connections.size())
-                .field("afterMs", drainingForMs)
-                .write();
+    private void close() {
         configurationWatcher.close();
         upstreamWatcher.close();
         peerDirectory.close();
         quarantineStore.close();
         peerChannel.close();
-        stopped.complete(null);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
@@ -10,18 +10,13 @@
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.GatewayRoute;
 import org.kingcuproad.policy.gateway.KeyOwner;
+import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RouteTable;
 import org.kingcuproad.policy.gateway.SharedPromptParts;
 
 /** Routes a request to a service and authenticates its API key, or determines why it is refused. */
 final class RequestRouter {
 
-    /**
-     * Retry delay of a request that another gateway may be able to serve: a client that retries usually reaches another
-     * gateway, which may have a newer configuration.
-     */
-    private static final long RETRY_IMMEDIATELY_MS = 0;
-
     private RequestRouter() {}
 
     /** Result of routing a request. */
@@ -64,7 +59,7 @@
         Optional<RouteTable> routes = storeView.routes();
         if (configuration.isEmpty() || routes.isEmpty()) {
             return new Refused(
-                    ErrorKind.CONFIGURATION_STALE, "no configuration has been loaded yet", RETRY_IMMEDIATELY_MS);
+                    ErrorKind.CONFIGURATION_STALE, "no configuration has been loaded yet", RetryAfter.OTHER_GATEWAY_MS);
         }
         HttpHeaders headers = head.headers();
         String requestId = headers.get(names.requestId());
@@ -83,7 +78,7 @@
                 return new Refused(
                         ErrorKind.CONFIGURATION_STALE,
                         "API keys can't be checked because the configuration is too old",
-                        RETRY_IMMEDIATELY_MS);
+                        RetryAfter.OTHER_GATEWAY_MS);
             }
             String key = headers.get(names.key());
             owner = key == null ? null : configuration.get().keyOwners().get(key.strip());
@@ -100,7 +95,7 @@
                 : new Refused(
                         ErrorKind.CONFIGURATION_STALE,
                         reason + " in a configuration that may be out of date",
-                        RETRY_IMMEDIATELY_MS);
+                        RetryAfter.OTHER_GATEWAY_MS);
     }
 
     private static Result select(
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
-import org.kingcuproad.policy.gateway.LeastCostSelector;
 import org.kingcuproad.policy.gateway.QueueAdmissionDecision;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.RetryAfter;
@@ -21,7 +20,6 @@
 import org.kingcuproad.policy.gateway.ServiceConfiguration;
 import org.kingcuproad.policy.gateway.ServiceStatistics;
 import org.kingcuproad.policy.gateway.StreamAdmissionDecision;
-import org.kingcuproad.policy.gateway.UpstreamCandidate;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
 
@@ -48,11 +46,12 @@
     private final WindowedRetryBudget budget;
     private final ServiceStatistics statistics = new ServiceStatistics();
     private final CrashProtection crashProtection;
-    private int rotation;
+    private final UpstreamSelector selector;
     private boolean dispatching;
 
     ServiceDispatcher(Gateway gateway, String service, WindowedRetryBudget budget) {
         this.gateway = gateway;
+        this.selector = new UpstreamSelector(gateway);
         this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
         this.budget = budget;
     }
@@ -96,6 +95,10 @@
         if (crashProtection.endIfQuarantined(exchange, nowMs)) {
             return;
         }
+        if (!gateway.shutdown().admits(exchange, statistics, nowMs)) {
+            rejectForShutdown(exchange);
+            return;
+        }
         if (!upstreams.anyUsable()) {
             refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is available");
             return;
@@ -158,6 +161,11 @@
         }
     }
 
+    private void rejectForShutdown(Exchange exchange) {
+        gateway.endWithProblem(
+                exchange, ErrorKind.SHUTTING_DOWN, "the gateway stops too soon", RetryAfter.OTHER_GATEWAY_MS);
+    }
+
     private void refuse(Exchange exchange, ErrorKind kind, String detail) {
         long nowMs = nowMs();
         long retryAfterMs = RetryAfter.of(
@@ -186,7 +194,7 @@
                 if (crashProtection.endIfQuarantined(exchange, nowMs)) {
                     continue;
                 }
-                OptionalInt index = selectUpstream(exchange, nowMs);
+                OptionalInt index = selector.select(upstreams.list(), exchange, engine, nowMs);
                 if (index.isEmpty()) {
                     queue.add(exchange);
                     return;
@@ -199,35 +207,6 @@
         }
     }
 
-    private OptionalInt selectUpstream(Exchange exchange, long nowMs) {
-        List<UpstreamCandidate> candidates = upstreams.list().stream()
-                .map(upstream -> candidate(upstream, exchange, nowMs))
-                .toList();
-        return LeastCostSelector.select(candidates, engine, rotation++);
-    }
-
-    private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, long nowMs) {
-        boolean admitted = upstream.usable()
-                && !exchange.tried(upstream.entry().id())
-                && upstream.health().admits(upstream.inFlight(), nowMs)
-                && withinRequestLimit(upstream, nowMs);
-        PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
-        return new UpstreamCandidate(
-                upstream.inFlight() + peers.inFlight(),
-                gateway.peerLoads().limit(upstream.entry().slots(), upstream.inFlight(), peers, nowMs),
-                upstream.pendingPrefillTokens() + peers.pendingPrefillTokens(),
-                upstream.health().latencyMs(),
-                upstream.health().failureRate(),
-                upstream.slowdownAt(nowMs),
-                upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
-                admitted);
-    }
-
-    private boolean withinRequestLimit(Upstream upstream, long nowMs) {
-        return upstream.requestLimit().perSecond().isEmpty()
-                || upstream.requestLimit().allows(gateway.peerLoads().reportingShare(nowMs), nowMs);
-    }
-
     private void send(Exchange exchange, Upstream upstream, long nowMs) {
         Attempt attempt = new Attempt(this, exchange, upstream, nowMs);
         exchange.setAttempt(attempt);
@@ -300,6 +279,7 @@
 
     private void deliver(Exchange exchange, BufferedResponse buffered, Upstream upstream) {
         boolean headRequest = exchange.head().method().equals(HttpMethod.HEAD);
+        recordDuration(exchange);
         var response = ForwardedMessages.completeResponse(buffered, headRequest);
         exchange.connection().sendHead(response, true);
         ReferenceCountUtil.safeRelease(response);
@@ -310,10 +290,15 @@
                 upstream.entry().id());
     }
 
+    private void recordDuration(Exchange exchange) {
+        statistics.onCompleted(exchange.route().kind(), nowMs() - exchange.arrivedMs());
+    }
+
     void onStreamEnd(Attempt attempt) {
         activeAttempts.remove(attempt);
         Exchange exchange = attempt.exchange();
         crashProtection.onResponse(attempt);
+        recordDuration(exchange);
         exchange.connection().sendEnd();
         gateway.onFinished(exchange, 200, "streamed", attempt.upstream().entry().id());
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
@@ -31,11 +31,21 @@
         return nowMs - startedMs;
     }
 
-    /** Returns whether idle connections are closed; before, clients may still be sent here. */
-    boolean closesIdleConnections(long nowMs) {
+    /** Returns whether the load balancer has stopped sending new connections; idle connections are closed then. */
+    boolean removedFromBalancer(long nowMs) {
         return durationMs(nowMs) > BALANCER_REMOVAL_MS;
     }
 
+    /**
+     * Returns the time until the requests that are still in progress are ended.
+     *
+     * @param graceMs time from the start of the shutdown to the forced end of the process, in milliseconds
+     * @return the time in milliseconds, 0 or less if it has passed
+     */
+    long untilServiceEndMs(long graceMs, long nowMs) {
+        return serviceEndMs(graceMs) - durationMs(nowMs);
+    }
+
     /**
      * Returns whether no more connections are accepted.
      *
@@ -43,14 +53,13 @@
      * @param graceMs time from the start of the shutdown to the forced end of the process, in milliseconds
      */
     boolean stopsListening(int connections, long graceMs, long nowMs) {
-        boolean removedFromBalancer = closesIdleConnections(nowMs) && connections == 0;
-        return removedFromBalancer
-                || durationMs(nowMs) > Math.min(MAX_DRAIN_ACCEPT_MS, serviceEndMs(graceMs) - LAST_REQUESTS_MS);
+        boolean unused = removedFromBalancer(nowMs) && connections == 0;
+        return unused || durationMs(nowMs) > Math.min(MAX_DRAIN_ACCEPT_MS, serviceEndMs(graceMs) - LAST_REQUESTS_MS);
     }
 
     /** Returns whether a gateway that does not listen any more may end. */
     boolean isComplete(int connections, long graceMs, long nowMs) {
-        return connections == 0 || durationMs(nowMs) > serviceEndMs(graceMs);
+        return connections == 0 || untilServiceEndMs(graceMs, nowMs) < 0;
     }
 
     private static long serviceEndMs(long graceMs) {
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -0,0 +1,52 @@
+package org.kingcuproad.gateway;
+
+import java.util.List;
+import java.util.OptionalInt;
+import org.kingcuproad.policy.gateway.LeastCostSelector;
+import org.kingcuproad.policy.gateway.UpstreamCandidate;
+
+/** Selects the upstream of a service to which a request is sent. */
+final class UpstreamSelector {
+
+    private final Gateway gateway;
+    private int rotation;
+
+    UpstreamSelector(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    /**
+     * Selects an upstream that has capacity and to which the request has not been sent yet.
+     *
+     * @param engine whether the upstreams are model engines
+     * @return the index of the upstream, or empty if none can take the request now
+     */
+    OptionalInt select(List<Upstream> upstreams, Exchange exchange, boolean engine, long nowMs) {
+        List<UpstreamCandidate> candidates = upstreams.stream()
+                .map(upstream -> candidate(upstream, exchange, nowMs))
+                .toList();
+        return LeastCostSelector.select(candidates, engine, rotation++);
+    }
+
+    private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, long nowMs) {
+        boolean admitted = upstream.usable()
+                && !exchange.tried(upstream.entry().id())
+                && upstream.health().admits(upstream.inFlight(), nowMs)
+                && withinRequestLimit(upstream, nowMs);
+        PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
+        return new UpstreamCandidate(
+                upstream.inFlight() + peers.inFlight(),
+                gateway.peerLoads().limit(upstream.entry().slots(), upstream.inFlight(), peers, nowMs),
+                upstream.pendingPrefillTokens() + peers.pendingPrefillTokens(),
+                upstream.health().latencyMs(),
+                upstream.health().failureRate(),
+                upstream.slowdownAt(nowMs),
+                upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
+                admitted);
+    }
+
+    private boolean withinRequestLimit(Upstream upstream, long nowMs) {
+        return upstream.requestLimit().perSecond().isEmpty()
+                || upstream.requestLimit().allows(gateway.peerLoads().reportingShare(nowMs), nowMs);
+    }
+}
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -13,12 +13,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.GatewayRoute;
@@ -66,6 +68,8 @@
     private boolean engines;
     private String configurationTarget = "/list";
     private long drainGraceMs = 2_000;
+    private long timeoutMs = 2_000;
+    private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
 
     GatewayFixture() throws IOException {
@@ -102,6 +106,11 @@
         drainGraceMs = newDrainGraceMs;
     }
 
+    /** Sets the time that routes and clients allow for a response. */
+    void setTimeoutMs(long newTimeoutMs) {
+        timeoutMs = newTimeoutMs;
+    }
+
     void setHeaderTimeoutMs(long newHeaderTimeoutMs) {
         headerTimeoutMs = newHeaderTimeoutMs;
     }
@@ -138,13 +147,13 @@
         return upstream;
     }
 
-    private static GatewayRoute route(RouteKind kind, int attempts) {
+    private GatewayRoute route(RouteKind kind, int attempts) {
         return new GatewayRoute(
                 kind.name(),
                 "office.example",
                 "/" + kind.name() + "/",
                 kind,
-                2_000,
+                timeoutMs,
                 100,
                 attempts,
                 1,
@@ -198,11 +207,17 @@
                 new FakeRegistry(),
                 new FakeQuarantines());
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
-        resources.add(() -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync());
+        exit = () -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        resources.add(exit);
         LineSink sink = new LineSink(java.io.OutputStream.nullOutputStream());
         return new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis));
     }
 
+    /** Closes all connections of the gateway, as the exit of its process does. */
+    void exitGateway() throws Exception {
+        Objects.requireNonNull(exit, "no gateway has been created").close();
+    }
+
     private HttpServer startStore() throws IOException {
         HttpServer store = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
         store.setExecutor(Executors.newCachedThreadPool(work -> {
@@ -253,6 +268,12 @@
                 + "\r\nX-Deadline: 2000\r\nConnection: close\r\n\r\n";
     }
 
+    /** Creates a request of a client that keeps its connection and waits as long as the route. */
+    static String keptAlivePostRequest(String path, String id) {
+        return "POST " + path + " HTTP/1.1\r\nHost: office.example\r\nX-Request: " + id
+                + "\r\nX-Key: k1\r\nContent-Length: 6\r\n\r\nprompt";
+    }
+
     static String postRequest(String path, String id, String body) {
         return "POST " + path + " HTTP/1.1\r\nHost: office.example\r\nX-Request: " + id
                 + "\r\nX-Key: k1\r\nX-Workspace: forged\r\nX-Deadline: 2000\r\nContent-Length: "
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -6,7 +6,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.io.PushbackInputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,6 +34,10 @@
 
     private static final int CLIENTS = 8;
     private static final int QUEUED_CLIENTS = 40;
+    private static final int STREAM_CLIENTS = 4;
+    private static final int STREAM_EVENTS = 35;
+    private static final long EVENT_INTERVAL_MS = 100;
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     private final GatewayFixture fixture;
 
@@ -139,6 +145,101 @@
         }
     }
 
+    /**
+     * Guards against streams that a draining gateway accepts on kept connections and cuts off when it stops: each is
+     * complete, or rejected before it reaches an upstream.
+     */
+    @Test
+    void cutsOffNoStreamThatIsSentWhileItDrains() throws Exception {
+        fixture.setDrainGraceMs(7_000);
+        fixture.setTimeoutMs(5_000);
+        StreamingUpstream.Script script = (request, output) -> {
+            output.writeStreamHead(request);
+            for (int event = 1; event <= STREAM_EVENTS; event++) {
+                sleep(EVENT_INTERVAL_MS);
+                output.writeChunk("id: " + event + "\ndata: e\n\n");
+            }
+            output.write("0\r\n\r\n");
+        };
+        StreamingUpstream first = fixture.streamingUpstream(script);
+        StreamingUpstream second = fixture.streamingUpstream(script);
+        Gateway gateway = fixture.start();
+        ExecutorService clients = Executors.newFixedThreadPool(STREAM_CLIENTS);
+        try {
+            List<Future<StreamCounts>> counts = new ArrayList<>();
+            for (int client = 0; client < STREAM_CLIENTS; client++) {
+                int number = client;
+                counts.add(clients.submit(() -> readStreams(number)));
+            }
+            // The stream of the last client ends 3.1 s after the signal, and another one would end after the service.
+            sleep(2 * STREAM_EVENTS * EVENT_INTERVAL_MS - STREAM_EVENTS * EVENT_INTERVAL_MS / (2 * STREAM_CLIENTS));
+            gateway.drain();
+            gateway.stopped().get(10, TimeUnit.SECONDS);
+            fixture.exitGateway();
+            int complete = 0;
+            int rejected = 0;
+            int cutOff = 0;
+            for (Future<StreamCounts> future : counts) {
+                StreamCounts count = future.get(10, TimeUnit.SECONDS);
+                complete += count.complete();
+                rejected += count.rejected();
+                cutOff += count.cutOff();
+            }
+
+            assertThat(cutOff).as("streams cut off").isZero();
+            assertThat(first.requests().size() + second.requests().size())
+                    .as("requests at the upstreams")
+                    .isEqualTo(complete)
+                    .isGreaterThan(STREAM_CLIENTS);
+            assertThat(rejected).as("rejected streams").isPositive();
+        } finally {
+            clients.shutdownNow();
+        }
+    }
+
+    private record StreamCounts(int complete, int rejected, int cutOff) {}
+
+    /** Reads one stream after the other on a kept connection, each sent as soon as the last one has ended. */
+    private StreamCounts readStreams(int client) {
+        int complete = 0;
+        sleep((long) client * STREAM_EVENTS * EVENT_INTERVAL_MS / STREAM_CLIENTS);
+        try (Socket socket = fixture.open()) {
+            PushbackInputStream input = new PushbackInputStream(socket.getInputStream());
+            while (true) {
+                socket.getOutputStream()
+                        .write(GatewayFixture.keptAlivePostRequest("/STREAMING/draft", "s" + client + "-" + complete)
+                                .getBytes(StandardCharsets.UTF_8));
+                if (closedWithoutResponse(input)) {
+                    return new StreamCounts(complete, 0, 0);
+                }
+                RawResponse response = RawResponse.readMessage(input);
+                if (response.status() == SERVICE_UNAVAILABLE) {
+                    assertThat(response.header("Retry-After")).hasValue("0.000");
+                    return new StreamCounts(complete, 1, 0);
+                }
+                complete++;
+                if (response.header("Connection").isPresent()) {
+                    return new StreamCounts(complete, 0, 0);
+                }
+            }
+        } catch (IOException cutOff) {
+            return new StreamCounts(complete, 0, 1);
+        }
+    }
+
+    /** Returns whether the gateway closed the connection before a response, as if it had not read the request. */
+    private static boolean closedWithoutResponse(PushbackInputStream input) throws IOException {
+        try {
+            int first = input.read();
+            if (first >= 0) {
+                input.unread(first);
+            }
+            return first < 0;
+        } catch (SocketException reset) {
+            return true;
+        }
+    }
+
     /** Guards against resetting clients that wait in the accept queue when the listening socket is closed. */
     @Test
     void acceptsTheClientsInTheQueueBeforeTheSocketIsClosed() throws Exception {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RequestQueue.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RequestQueue.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /**
  * Queue of requests that wait for a slot at the upstreams of one service.
@@ -79,11 +80,19 @@
      * @return the requests, which the caller refuses
      */
     public List<T> removeExpired(long nowMs) {
-        List<T> expired = queued.stream()
-                .filter(request -> attributes.apply(request).startDeadlineMs() <= nowMs)
-                .toList();
-        queued.removeAll(expired);
-        return expired;
+        return removeMatching(request -> attributes.apply(request).startDeadlineMs() <= nowMs);
+    }
+
+    /**
+     * Removes and returns all requests that satisfy a condition.
+     *
+     * @param condition the condition
+     * @return the requests, which the caller ends
+     */
+    public List<T> removeMatching(Predicate<T> condition) {
+        List<T> matching = queued.stream().filter(condition).toList();
+        queued.removeAll(matching);
+        return matching;
     }
 
     private Comparator<T> startOrder(double timeToFirstResponseMs, long nowMs) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryAfter.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryAfter.java
@@ -10,6 +10,12 @@
  */
 public final class RetryAfter {
 
+    /**
+     * Delay of a request that another gateway may be able to serve, in milliseconds: a client that retries at once
+     * usually reaches another gateway.
+     */
+    public static final long OTHER_GATEWAY_MS = 0;
+
     /** Clients honour a delay of up to this fraction of their remaining time. */
     private static final double HONOURED_FRACTION = 1.0 / 3;
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServiceStatistics.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServiceStatistics.java
@@ -1,5 +1,9 @@
 package org.kingcuproad.policy.gateway;
 
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
 /** Statistics on the response times and the progress of the upstreams of one service, as observed by one gateway. */
 public final class ServiceStatistics {
 
@@ -33,6 +37,7 @@
      */
     private static final double INITIAL_EVENT_INTERVAL_MS = 120;
 
+    private final Map<RouteKind, RecentDurations> durations = new EnumMap<>(RouteKind.class);
     private double timeToFirstResponseMs;
     private double meanEventIntervalMs = INITIAL_EVENT_INTERVAL_MS;
     private double meanReleaseIntervalMs;
@@ -53,6 +58,27 @@
         lastResponseMs = nowMs;
     }
 
+    /**
+     * Records a complete response.
+     *
+     * @param kind kind of the request's route
+     * @param durationMs time from the arrival of the request to the end of the response, in milliseconds
+     */
+    public void onCompleted(RouteKind kind, long durationMs) {
+        durations.computeIfAbsent(kind, unused -> new RecentDurations()).add(durationMs);
+    }
+
+    /**
+     * Returns the duration of the longest of the most recent responses.
+     *
+     * @param kind kind of the requests' routes
+     * @return the duration in milliseconds, or empty before the first response
+     */
+    public OptionalLong longestRecentMs(RouteKind kind) {
+        RecentDurations recent = durations.get(kind);
+        return recent == null ? OptionalLong.empty() : recent.longestMs();
+    }
+
     /**
      * Records the interval between two events of a stream.
      *
