Answer the requests that a stopping gateway leaves unfinished

Seen by callers: a request that waited for a slot, or was at work at an upstream, when a draining gateway stopped got a closed connection without an answer, and did not learn whether it had run.

Nothing looked at queued requests again after the shutdown had begun, and the stop only closed idle connections and left the rest to the exit of the process.

Change: queued requests are rejected with 503 as soon as they can't be expected to end before the stop. When the service ends, each request that is left gets its final answer: 503 if it was not written to an upstream, 504 if it may have run; a response that has begun is broken off. The process exits when all connections are closed, 200 ms later at the latest, of the 600 ms that are reserved at the end of the grace period.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -115,6 +115,11 @@
         written = true;
     }
 
+    /** Returns whether the request has been written, so that the upstream may run it. */
+    boolean written() {
+        return written;
+    }
+
     void setAutoRead(boolean autoRead) {
         UpstreamConnection current = connection;
         if (current != null && !ended) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -22,6 +22,7 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
+import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
 import org.kingcuproad.policy.quarantine.QuarantinedPrompt;
@@ -399,6 +400,18 @@
         onFinished(exchange, 0, "aborted: " + reason, "");
     }
 
+    /** Ends a request that can't be served any more because the gateway stops. */
+    void endForShutdown(Exchange exchange) {
+        if (exchange.headSent()) {
+            abort(exchange, "the gateway stops");
+        } else if (exchange.mayHaveRun()) {
+            endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "the gateway stops; the request may have run", -1);
+        } else {
+            endWithProblem(
+                    exchange, ErrorKind.SHUTTING_DOWN, "the gateway stops too soon", RetryAfter.OTHER_GATEWAY_MS);
+        }
+    }
+
     /** Records the end of a request. */
     void onFinished(Exchange exchange, int status, String outcome, String upstreamId) {
         long durationMs = clock.steadyMs() - exchange.arrivedMs();
@@ -459,7 +472,11 @@
                     .field("leaving", draining())
                     .write();
         }
-        shutdown.sweep(listener, connections, this::close, nowMs);
+        shutdown.sweep(listener, connections, this::endRequests, this::close, nowMs);
+    }
+
+    private void endRequests() {
+        dispatchers.values().forEach(ServiceDispatcher::endAll);
     }
 
     private void close() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
@@ -59,14 +59,19 @@
     }
 
     /**
-     * Closes idle connections and the listening socket when it is time to.
+     * Closes idle connections and the listening socket and ends the service when it is time to.
      *
      * @param listener the listening socket, {@code null} if the gateway has not been started
      * @param connections open client connections
+     * @param endRequests ends all requests that are still in progress
      * @param onEnd called before {@link #stopped} completes
      */
     void sweep(
-            @Nullable ClientListener listener, Collection<ClientConnection> connections, Runnable onEnd, long nowMs) {
+            @Nullable ClientListener listener,
+            Collection<ClientConnection> connections,
+            Runnable endRequests,
+            Runnable onEnd,
+            long nowMs) {
         if (!sequence.started() || stopped.isDone()) {
             return;
         }
@@ -76,6 +81,9 @@
         if (listener != null && sequence.stopsListening(connections.size(), graceMs.getAsLong(), nowMs)) {
             listener.stop();
         }
+        if (sequence.untilServiceEndMs(graceMs.getAsLong(), nowMs) < 0) {
+            endRequests.run();
+        }
         boolean listening = listener != null && !listener.stopped();
         if (!listening && sequence.isComplete(connections.size(), graceMs.getAsLong(), nowMs)) {
             List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -96,7 +96,7 @@
             return;
         }
         if (!gateway.shutdown().admits(exchange, statistics, nowMs)) {
-            rejectForShutdown(exchange);
+            gateway.endForShutdown(exchange);
             return;
         }
         if (!upstreams.anyUsable()) {
@@ -161,9 +161,17 @@
         }
     }
 
-    private void rejectForShutdown(Exchange exchange) {
-        gateway.endWithProblem(
-                exchange, ErrorKind.SHUTTING_DOWN, "the gateway stops too soon", RetryAfter.OTHER_GATEWAY_MS);
+    /** Ends all requests, because the process is about to exit. */
+    void endAll() {
+        queue.removeMatching(exchange -> true).forEach(gateway::endForShutdown);
+        for (Attempt attempt : List.copyOf(activeAttempts)) {
+            if (attempt.written()) {
+                attempt.exchange().setMayHaveRun();
+            }
+            activeAttempts.remove(attempt);
+            attempt.cancel();
+            gateway.endForShutdown(attempt.exchange());
+        }
     }
 
     private void refuse(Exchange exchange, ErrorKind kind, String detail) {
@@ -433,6 +441,9 @@
     /** Checks queued requests and attempts in progress against their deadlines. */
     void sweep(long nowMs) {
         sweepCrashProtection(nowMs);
+        queue.removeMatching(
+                        exchange -> !exchange.headSent() && !gateway.shutdown().admits(exchange, statistics, nowMs))
+                .forEach(gateway::endForShutdown);
         for (Exchange exchange : queue.removeExpired(nowMs)) {
             if (exchange.headSent()) {
                 gateway.abort(exchange, "no upstream had capacity to resume the stream");
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
@@ -9,9 +9,12 @@
     /** Maximum time after the start of draining for which new connections are accepted. */
     private static final long MAX_DRAIN_ACCEPT_MS = 4_000;
 
-    /** Time reserved between the last response and the end of the grace period. */
+    /** Time reserved between the end of the service and the end of the grace period. */
     private static final long SHUTDOWN_RESERVE_MS = 600;
 
+    /** Time in which the last responses reach their clients before the process exits. */
+    private static final long LAST_RESPONSES_MS = 200;
+
     /** Time in which the requests of the last accepted connections are served. */
     private static final long LAST_REQUESTS_MS = 1_000;
 
@@ -59,7 +62,7 @@
 
     /** Returns whether a gateway that does not listen any more may end. */
     boolean isComplete(int connections, long graceMs, long nowMs) {
-        return connections == 0 || untilServiceEndMs(graceMs, nowMs) < 0;
+        return connections == 0 || untilServiceEndMs(graceMs, nowMs) < -LAST_RESPONSES_MS;
     }
 
     private static long serviceEndMs(long graceMs) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -38,6 +38,7 @@
     private static final int STREAM_EVENTS = 35;
     private static final long EVENT_INTERVAL_MS = 100;
     private static final int SERVICE_UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
 
     private final GatewayFixture fixture;
 
@@ -197,6 +198,64 @@
         }
     }
 
+    /** Guards against closing a connection without an answer because the upstream is still at work. */
+    @Test
+    void answersAnOrderThatIsInProgressWhenTheServiceEnds() throws Exception {
+        fixture.setTimeoutMs(5_000);
+        fixture.upstream(request -> {
+            sleep(5_000);
+            return GatewayFixture.ok(request, "late");
+        });
+        Gateway gateway = fixture.start();
+        try (Socket socket = fixture.open()) {
+            socket.getOutputStream()
+                    .write(GatewayFixture.keptAlivePostRequest("/NON_IDEMPOTENT/a", "r1")
+                            .getBytes(StandardCharsets.UTF_8));
+            sleep(100);
+            gateway.drain();
+            gateway.stopped().get(10, TimeUnit.SECONDS);
+            fixture.exitGateway();
+
+            assertThat(RawResponse.readMessage(socket.getInputStream()).status())
+                    .as("status of a request that may have run")
+                    .isEqualTo(GATEWAY_TIMEOUT);
+        }
+    }
+
+    /** Guards against requests that wait for a slot until the gateway stops and are closed without an answer. */
+    @Test
+    void rejectsQueuedRequestsThatCannotBeServedBeforeTheStop() throws Exception {
+        fixture.setTimeoutMs(5_000);
+        FakeUpstream upstream = fixture.upstream(request -> {
+            sleep(5_000);
+            return GatewayFixture.ok(request, "late");
+        });
+        Gateway gateway = fixture.start();
+        List<Socket> sockets = new ArrayList<>();
+        for (int client = 0; client < QUEUED_CLIENTS; client++) {
+            Socket socket = fixture.open();
+            sockets.add(socket);
+            socket.getOutputStream()
+                    .write(GatewayFixture.keptAlivePostRequest("/NON_IDEMPOTENT/a", "r" + client)
+                            .getBytes(StandardCharsets.UTF_8));
+        }
+        sleep(100);
+        gateway.drain();
+        sleep(200);
+
+        int rejected = 0;
+        for (Socket socket : sockets) {
+            if (socket.getInputStream().available() > 0) {
+                assertThat(RawResponse.readMessage(socket.getInputStream()).status())
+                        .isEqualTo(SERVICE_UNAVAILABLE);
+                rejected++;
+            }
+            socket.close();
+        }
+        assertThat(rejected + upstream.requests().size()).isEqualTo(QUEUED_CLIENTS);
+        assertThat(rejected).isPositive();
+    }
+
     private record StreamCounts(int complete, int rejected, int cutOff) {}
 
     /** Reads one stream after the other on a kept connection, each sent as soon as the last one has ended. */
