Keep the event loop free when an upstream floods a response

Cause: EventStreamParser took each blank line for an event, Attempt passed each one on by a write and a flush of its own, and each write became a chunk of its own: two bytes received cost an allocation, an encoding and a system call. Up to 16 reads of 64 KB followed one another before the event loop served other connections, so the check for stalled streams came too late, and no bound counted events without content. The same held for comments, and for chunks of one byte in a response that is forwarded as it arrives.

Change: blank lines belong to the event that follows, and the line after the last event to the end of the stream. The parser works on bytes and creates text only for ids. What arrives with one read is sent as one chunk with one flush. An upstream that sends 256 KB without an event that advances the stream is given up, as it is for an event of that size. A connection is read four times 16 KB at most before the others are served. The metric event_loop_delay_ms and the log line "event loop delayed" tell a busy event loop from slow upstreams, which the logs could not.

The other tests of the gateway's sockets pass.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -58,6 +57,7 @@
     private long lastEventMs;
     private long longestIntervalMs;
     private long discardedBytes;
+    private long bytesWithoutProgress;
     private boolean readingPaused;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
@@ -191,7 +191,7 @@
         }
         switch (mode) {
             case BUFFERED -> buffer(bytes);
-            case FORWARDED -> exchange.connection().sendContent(bytes.retain());
+            case FORWARDED -> exchange.connection().sendContent(ByteBufUtil.getBytes(bytes));
             case EVENTS -> onEventBytes(bytes);
             case DISCARDED -> discard(bytes.readableBytes());
             case AWAITING_HEAD -> {}
@@ -205,7 +205,7 @@
         buffered.writeBytes(ByteBufUtil.getBytes(bytes));
         if (buffered.size() > MAX_BUFFERED_BYTES) {
             forwardHead();
-            exchange.connection().sendContent(Unpooled.wrappedBuffer(buffered.toByteArray()));
+            exchange.connection().sendContent(buffered.toByteArray());
             buffered.reset();
             mode = ResponseMode.FORWARDED;
         }
@@ -222,10 +222,16 @@
     }
 
     private void onEventBytes(ByteBuf bytes) {
-        onEvents(parser.feed(ByteBufUtil.getBytes(bytes)));
-        if (parser.exceedsMaxSize()) {
+        List<StreamEvent> events = parser.feed(ByteBufUtil.getBytes(bytes));
+        if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
+            bytesWithoutProgress = 0;
+        } else {
+            bytesWithoutProgress += bytes.readableBytes();
+        }
+        onEvents(events);
+        if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
             closeConnection();
-            onFailure("event without end");
+            onFailure(parser.hasPartialEvent() ? "event without end" : "bytes without an event");
         }
     }
 
@@ -264,7 +270,7 @@
             if (event.id() != StreamEvent.NO_ID) {
                 exchange.setLastEventId(event.id());
             }
-            exchange.connection().sendContent(Unpooled.wrappedBuffer(event.bytes()));
+            exchange.connection().sendContent(event.bytes());
         }
     }
 
@@ -311,6 +317,9 @@
                 dispatcher.onResponse(this, bufferedResponse);
             }
         } else {
+            if (mode == ResponseMode.EVENTS) {
+                exchange.connection().sendContent(parser.trailingBytes());
+            }
             dispatcher.onStreamEnd(this);
         }
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -56,6 +56,7 @@
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private @Nullable HttpRequest head;
     private @Nullable CompositeByteBuf body;
+    private @Nullable ByteBuf content;
     private @Nullable Exchange exchange;
     private boolean requestInProgress;
     private boolean keepAlive = true;
@@ -211,11 +212,35 @@
         }
     }
 
-    void sendContent(ByteBuf bytes) {
-        channel.writeAndFlush(new DefaultHttpContent(bytes));
+    /**
+     * Sends a part of the body of a response. Parts that arrive with the same read from the upstream are sent together,
+     * because each chunk and each flush costs far more time than its bytes if they are few.
+     *
+     * @param bytes the part; must not be modified
+     */
+    void sendContent(byte[] bytes) {
+        if (bytes.length == 0) {
+            return;
+        }
+        ByteBuf collected = content;
+        if (collected == null) {
+            collected = channel.alloc().buffer(bytes.length);
+            content = collected;
+            channel.eventLoop().execute(this::flushContent);
+        }
+        collected.writeBytes(bytes);
+    }
+
+    private void flushContent() {
+        ByteBuf collected = content;
+        content = null;
+        if (collected != null) {
+            channel.writeAndFlush(new DefaultHttpContent(collected));
+        }
     }
 
     void sendEnd() {
+        flushContent();
         onResponseSent(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
@@ -224,6 +249,7 @@
      * complete.
      */
     void abort() {
+        flushContent();
         exchange = null;
         closing = true;
         channel.close();
@@ -308,6 +334,8 @@
     public void channelInactive(ChannelHandlerContext context) {
         releaseBody();
         releasePipelined();
+        ReferenceCountUtil.release(content);
+        content = null;
         gateway.onConnectionClosed(this);
         Exchange current = exchange;
         exchange = null;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
@@ -66,6 +66,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, ReceiveBuffers.create())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -83,6 +83,7 @@
     private final PeerChannel peerChannel;
     private final PeerDirectory peerDirectory;
     private final ProcessMetrics metrics = new ProcessMetrics();
+    private final EventLoopMonitor eventLoopMonitor;
     private final QuarantineStore quarantineStore;
     private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
@@ -110,6 +111,7 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        this.eventLoopMonitor = new EventLoopMonitor(metrics, log);
         this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
         this.storeView = new StoreView(log, clock, settings, this::onStoreViewChanged);
         this.configurationWatcher = new StoreWatcher<>(
@@ -457,6 +459,7 @@
                     .write();
             dispatchers.values().forEach(ServiceDispatcher::closeIdleConnections);
         }
+        eventLoopMonitor.onTask(nowMs - lastSweepSteadyMs - SWEEP_INTERVAL_MS);
         lastSweepSteadyMs = nowMs;
         lastSweepWallMs = wallMs;
         storeView.sweep(nowMs);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
@@ -62,6 +62,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ReceiveBuffers.create())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/EndlessResponseTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/EndlessResponseTest.java
@@ -30,6 +30,12 @@
     /** Time until the client of an order leaves the route's 2 s and the gateway stops waiting for the upstream. */
     private static final int ORDER_CLOSED_WITHIN_MS = 3_000;
 
+    /** Time of the lookups, which is longer than the flooded request may take. */
+    private static final int FLOOD_MS = 2_500;
+
+    /** Time within which the balancer expects an answer to its readiness check, the shortest wait of all callers. */
+    private static final int PROBE_TIMEOUT_MS = 1_000;
+
     private static final String TERMINATOR = "0\r\n\r\n";
 
     private final GatewayFixture fixture;
@@ -155,6 +161,65 @@
         assertThat(first.writtenBytes() + second.writtenBytes()).isLessThan(MAX_ACCEPTED_BYTES);
     }
 
+    static Stream<Arguments> floods() {
+        String lineEnds = "\n".repeat(8_000);
+        return Stream.of(
+                Arguments.of("line ends", "/STREAMING/draft", chunk(lineEnds)),
+                Arguments.of("comments", "/STREAMING/draft", chunk(": keep\n\n".repeat(1_000))),
+                Arguments.of("events without an id", "/STREAMING/draft", chunk("data: e\n\n".repeat(1_000))),
+                Arguments.of("chunks of one byte", "/NON_IDEMPOTENT/order", "1\r\nx\r\n".repeat(1_000)),
+                Arguments.of("line ends in chunks of one byte", "/STREAMING/draft", "1\r\n\n\r\n".repeat(1_000)));
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    /** Guards against a flood from one upstream that occupies the event loop, so that nobody else is answered. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("floods")
+    void answersOtherCallersDuringAFlood(String form, String path, String flood) throws Exception {
+        StreamingUpstream.Script script = (request, output) -> {
+            if (request.startsWith("GET ")) {
+                output.write(FakeUpstream.response(
+                        FakeUpstream.header(request, "X-Request"), 200, GatewayFixture.SEAL, "stock"));
+                return;
+            }
+            String type = request.contains("/STREAMING/") ? "Content-Type: text/event-stream\r\n" : "";
+            output.write(head(request, 200, GatewayFixture.SEAL + type + "Transfer-Encoding: chunked\r\n\r\n"));
+            while (true) {
+                output.write(flood);
+            }
+        };
+        fixture.streamingUpstream(script);
+        fixture.streamingUpstream(script);
+        fixture.start();
+        Thread caller = new Thread(() -> readFlood(path), "flooded-caller");
+        caller.start();
+
+        long longestMs = 0;
+        long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FLOOD_MS);
+        for (int lookup = 0; System.nanoTime() < endNs; lookup++) {
+            long startedNs = System.nanoTime();
+            assertThat(fixture.get("/IDEMPOTENT/a", "k1", "l" + lookup).body()).isEqualTo("stock");
+            longestMs = Math.max(longestMs, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNs));
+            Thread.sleep(20);
+        }
+        caller.join();
+
+        assertThat(longestMs).as("longest lookup, in milliseconds").isLessThan(PROBE_TIMEOUT_MS);
+    }
+
+    private void readFlood(String path) {
+        try (Socket socket = fixture.open()) {
+            socket.getOutputStream()
+                    .write(GatewayFixture.postRequest(path, "flooded", "x").getBytes(StandardCharsets.UTF_8));
+            readToEnd(socket.getInputStream(), new byte[1]);
+        } catch (IOException closed) {
+            // The gateway may break the response off.
+        }
+    }
+
     /** Guards against taking a body that never ends for complete: the caller's connection breaks within its time. */
     @Test
     void breaksOffASealedBodyThatNeverEnds() throws Exception {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
@@ -8,18 +8,34 @@
 /**
  * Splits the bytes of an event stream into complete events.
  *
- * <p>An event ends with a blank line. Bytes after the last complete event are buffered until the rest arrives.
+ * <p>An event ends with the blank line after its last line. Blank lines before an event belong to it, so that an
+ * upstream that sends only line ends doesn't produce events. Bytes after the last complete event are buffered until the
+ * rest arrives.
  */
 public final class EventStreamParser {
 
+    /**
+     * Maximum size of an event, and of what an upstream may send without an event that advances the stream. An upstream
+     * in trouble may send bytes without end, which must not fill the memory or occupy the gateway.
+     */
+    public static final int MAX_EVENT_BYTES = 256 << 10;
+
     /** Initial buffer size. Typical events have about 70 bytes, and several may arrive together. */
     private static final int INITIAL_BYTES = 512;
 
-    /** Maximum size of an event. An upstream in trouble may send bytes without end, which must not fill the memory. */
-    private static final int MAX_EVENT_BYTES = 256 << 10;
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
 
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
+    private int scanned;
+    private int lineStart;
+    private boolean lineSeen;
+    private boolean onlyComments = true;
+    private boolean idSeen;
+    private long id = StreamEvent.NO_ID;
+
+    /** Creates a parser at the start of a stream. */
+    public EventStreamParser() {}
 
     /**
      * Appends the next bytes of the stream.
@@ -31,20 +47,25 @@
         if (length + bytes.length > pending.length) {
             pending = Arrays.copyOf(pending, Math.max(length + bytes.length, pending.length * 2));
         }
-        int searchFrom = Math.max(0, length - 3);
         System.arraycopy(bytes, 0, pending, length, bytes.length);
         length += bytes.length;
         List<StreamEvent> events = new ArrayList<>(1);
         int start = 0;
-        for (int index = searchFrom; index < length; index++) {
-            if (pending[index] == '\n' && endsBlankLine(index, start)) {
-                events.add(event(start, index + 1));
-                start = index + 1;
+        for (; scanned < length; scanned++) {
+            if (pending[scanned] == '\n') {
+                if (endsEvent(scanned)) {
+                    events.add(new StreamEvent(id, Arrays.copyOfRange(pending, start, scanned + 1), onlyComments));
+                    start = scanned + 1;
+                    resetEvent();
+                }
+                lineStart = scanned + 1;
             }
         }
         if (start > 0) {
             System.arraycopy(pending, start, pending, 0, length - start);
             length -= start;
+            scanned -= start;
+            lineStart -= start;
         }
         return events;
     }
@@ -52,10 +73,19 @@
     /**
      * Returns whether an incomplete event is buffered.
      *
-     * @return {@code true} if the bytes received so far don't end with a complete event
+     * @return {@code true} if the bytes received so far end with a part of an event; blank lines are no part of one
      */
     public boolean hasPartialEvent() {
-        return length > 0;
+        return lineSeen || lineStart < length;
+    }
+
+    /**
+     * Returns the blank lines after the last event, which end a stream that has no partial event.
+     *
+     * @return the bytes that are buffered
+     */
+    public byte[] trailingBytes() {
+        return Arrays.copyOf(pending, length);
     }
 
     /**
@@ -67,27 +97,38 @@
         return length > MAX_EVENT_BYTES;
     }
 
-    private boolean endsBlankLine(int index, int start) {
-        return (index - 1 >= start && pending[index - 1] == '\n')
-                || (index - 2 >= start && pending[index - 1] == '\r' && pending[index - 2] == '\n');
+    /** Evaluates the line that ends with the line feed at an index, and returns whether an event ends there too. */
+    private boolean endsEvent(int index) {
+        int lineEnd = index > lineStart && pending[index - 1] == '\r' ? index - 1 : index;
+        if (lineEnd == lineStart) {
+            return lineSeen;
+        }
+        lineSeen = true;
+        onlyComments &= pending[lineStart] == ':';
+        if (!idSeen && startsWithIdField(lineEnd)) {
+            idSeen = true;
+            id = parseId(lineStart + ID_FIELD.length, lineEnd);
+        }
+        return false;
     }
 
-    private StreamEvent event(int from, int to) {
-        byte[] bytes = Arrays.copyOfRange(pending, from, to);
-        long id = new String(bytes, StandardCharsets.UTF_8)
-                .lines()
-                .filter(line -> line.startsWith("id:"))
-                .mapToLong(line -> parseId(line.substring("id:".length()).strip()))
-                .findFirst()
-                .orElse(StreamEvent.NO_ID);
-        return new StreamEvent(id, bytes);
+    private boolean startsWithIdField(int lineEnd) {
+        int fieldEnd = lineStart + ID_FIELD.length;
+        return fieldEnd <= lineEnd && Arrays.equals(pending, lineStart, fieldEnd, ID_FIELD, 0, ID_FIELD.length);
     }
 
-    private static long parseId(String text) {
+    private long parseId(int from, int to) {
         try {
-            return Long.parseLong(text);
+            return Long.parseLong(new String(pending, from, to - from, StandardCharsets.UTF_8).strip());
         } catch (NumberFormatException notNumeric) {
             return StreamEvent.NO_ID;
         }
     }
+
+    private void resetEvent() {
+        lineSeen = false;
+        onlyComments = true;
+        idSeen = false;
+        id = StreamEvent.NO_ID;
+    }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
@@ -79,4 +79,43 @@
 
         assertThat(events.stream().map(event -> event.advances(3)).toList()).containsExactly(false, false, true, true);
     }
+
+    /** Guards against a flood of line ends that becomes a flood of events. */
+    @Test
+    void takesBlankLinesForAPartOfTheNextEvent() {
+        EventStreamParser parser = new EventStreamParser();
+
+        assertThat(parser.feed(bytes("\n\r\n\n"))).isEmpty();
+        assertThat(parser.hasPartialEvent()).isFalse();
+        assertThat(parser.feed(bytes("id: 1\n\n\n"))).singleElement().satisfies(event -> {
+            assertThat(event.id()).isEqualTo(1);
+            assertThat(event.bytes()).isEqualTo(bytes("\n\r\n\nid: 1\n\n"));
+        });
+        assertThat(parser.hasPartialEvent()).isFalse();
+        assertThat(parser.trailingBytes()).isEqualTo(bytes("\n"));
+    }
+
+    @Test
+    void reportsLineEndsWithoutEnd() {
+        EventStreamParser parser = new EventStreamParser();
+        byte[] lineEnds = new byte[EventStreamParser.MAX_EVENT_BYTES];
+        Arrays.fill(lineEnds, (byte) '\n');
+
+        assertThat(parser.feed(lineEnds)).isEmpty();
+        assertThat(parser.exceedsMaxSize()).isFalse();
+        parser.feed(bytes("\n"));
+        assertThat(parser.exceedsMaxSize()).isTrue();
+    }
+
+    /** Guards against a stream that ends inside a line and is taken for complete. */
+    @Test
+    void reportsAPartialEventWhoseFirstLineIsIncomplete() {
+        EventStreamParser parser = new EventStreamParser();
+
+        parser.feed(bytes("id: 1\n\ni"));
+        assertThat(parser.hasPartialEvent()).isTrue();
+        assertThat(parser.feed(bytes("d: 2\n"))).isEmpty();
+        assertThat(parser.hasPartialEvent()).isTrue();
+        assertThat(parser.feed(bytes("\n"))).extracting(StreamEvent::id).containsExactly(2L);
+    }
 }
