Test that a late copy of a rejection is never taken for an answer

Reported by another operator: a faulty upstream wrote an earlier rejection once more on a kept connection, and clients were told "not run, try again" for requests that had run or were running, or such a request ran at a second upstream.

This can't happen on the gateway's path: UpstreamConnection skips responses with the id of another request, fails a request whose response has no id on a connection that was used before, and closes a connection with bytes that nothing waits for. A rejected request is never sent to the same upstream again.

Open: the agent of the product's own interface, which the deploy file doesn't start, uses pooled connections of AsyncHttpClient and doesn't compare ids; read in the source, not run.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -69,6 +69,7 @@
     private String configurationTarget = "/list";
     private long drainGraceMs = 2_000;
     private long timeoutMs = 2_000;
+    private int orderAttempts = 1;
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
 
@@ -111,6 +112,11 @@
         timeoutMs = newTimeoutMs;
     }
 
+    /** Sets the number of upstreams to which an order may be sent. */
+    void setOrderAttempts(int newOrderAttempts) {
+        orderAttempts = newOrderAttempts;
+    }
+
     void setHeaderTimeoutMs(long newHeaderTimeoutMs) {
         headerTimeoutMs = newHeaderTimeoutMs;
     }
@@ -175,7 +181,7 @@
                 3,
                 List.of(
                         route(RouteKind.IDEMPOTENT, 2),
-                        route(RouteKind.NON_IDEMPOTENT, 1),
+                        route(RouteKind.NON_IDEMPOTENT, orderAttempts),
                         route(RouteKind.STREAMING, 2)),
                 Map.of("desk", new ServiceConfiguration("desk", 10, engines, 0, Optional.empty(), 120)),
                 new ClientLimits(8_192, 10_000, headerTimeoutMs, 5_000),
