Break a stream off if it is resumed with a response that is no stream

Reported by another operator: a stream had begun and broke off, the next upstream answered with an error, and clients found the error's text in the middle of their stream, or a stream that seemed complete.

Cause here: Attempt.onHead checked that the status of a resumed stream reports success, but not that an event stream follows. A sealed success of another type was treated like a complete response. If it was larger than 256 KB, its head failed to be encoded and its body was appended to the stream; if it was smaller, the encoder failed without a trace and the caller waited on an open connection without an end. Errors, rejections and redirections were handled. The entry of the product's own interface retries only before the first byte, so this can't happen there.

Change: when a stream is resumed, whatever is no event stream counts as lost, and the caller's connection is broken off at once. Gateway.endWithProblem breaks a response off that has begun, for all its callers.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -161,8 +161,9 @@
         } else if (status.codeClass() == HttpStatusClass.SUCCESS
                 && !response.headers().contains(dispatcher.names().seal())) {
             discardOutcome = new AttemptOutcome.Lost("successful response without a seal");
-        } else if (exchange.headSent() && status.codeClass() != HttpStatusClass.SUCCESS) {
-            discardOutcome = new AttemptOutcome.Lost("status " + status.code() + " when resuming the stream");
+        } else if (exchange.headSent() && !isEventStream(response)) {
+            discardOutcome =
+                    new AttemptOutcome.Lost("status " + status.code() + " and no events when resuming the stream");
         }
         if (discardOutcome instanceof AttemptOutcome.Lost lost && !detached) {
             // Nothing that follows can be used, and an upstream in trouble may send it without end.
@@ -174,10 +175,7 @@
             mode = ResponseMode.DISCARDED;
             return;
         }
-        String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-        boolean events = exchange.route().kind() == RouteKind.STREAMING
-                && status.codeClass() == HttpStatusClass.SUCCESS
-                && type.startsWith(EVENT_STREAM);
+        boolean events = isEventStream(response);
         mode = events ? ResponseMode.EVENTS : ResponseMode.BUFFERED;
         if (!events) {
             exchange.onProgress(dispatcher.nowMs());
@@ -185,6 +183,12 @@
         }
     }
 
+    private boolean isEventStream(HttpResponse response) {
+        return exchange.route().kind() == RouteKind.STREAMING
+                && response.status().codeClass() == HttpStatusClass.SUCCESS
+                && response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+    }
+
     void onBytes(ByteBuf bytes) {
         if (detached) {
             return;
