Never retry a request whose response has been passed on in part

Change: AttemptOutcome.BrokenOff, which has no retry. The recording of outcomes moves from ServiceDispatcher to OutcomeRecorder.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -343,11 +343,19 @@
         }
         end();
         if (!detached) {
-            dispatcher.onOutcome(
-                    this, written ? new AttemptOutcome.Lost(reason, disconnected) : new AttemptOutcome.NotSent(reason));
+            dispatcher.onOutcome(this, failure(reason, disconnected));
         }
     }
 
+    private AttemptOutcome failure(String reason, boolean disconnected) {
+        if (!written) {
+            return new AttemptOutcome.NotSent(reason);
+        }
+        return mode == ResponseMode.FORWARDED
+                ? new AttemptOutcome.BrokenOff(reason, disconnected)
+                : new AttemptOutcome.Lost(reason, disconnected);
+    }
+
     private void end() {
         ended = true;
         upstream.onAttemptEnded();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
@@ -28,6 +28,12 @@
         }
     }
 
+    /**
+     * The response broke off after a part of its body had been passed on to the client. No byte of another response may
+     * follow, so the request can't be retried.
+     */
+    record BrokenOff(String reason, boolean disconnected) implements AttemptOutcome {}
+
     /** The upstream responded with a server error; the response is kept and delivered if no other attempt succeeds. */
     record Failed(BufferedResponse response, String reason) implements AttemptOutcome {}
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -46,6 +46,7 @@
     private final WindowedRetryBudget budget;
     private final ServiceStatistics statistics = new ServiceStatistics();
     private final CrashProtection crashProtection;
+    private final OutcomeRecorder outcomeRecorder;
     private final UpstreamSelector selector;
     private boolean dispatching;
 
@@ -53,6 +54,7 @@
         this.gateway = gateway;
         this.selector = new UpstreamSelector(gateway);
         this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
+        this.outcomeRecorder = new OutcomeRecorder(crashProtection, gateway.log());
         this.budget = budget;
     }
 
@@ -321,7 +323,7 @@
         exchange.setAttempt(null);
         exchange.setLastFailure(outcome.reason());
         long nowMs = nowMs();
-        recordOutcome(attempt, outcome, nowMs);
+        outcomeRecorder.record(attempt, outcome, nowMs);
         boolean retry = mayRetry(exchange, outcome, nowMs);
         gateway.log()
                 .event("attempt failed")
@@ -344,53 +346,21 @@
         }
     }
 
-    /** Updates the request and the health of the upstream according to the outcome of an attempt. */
-    private void recordOutcome(Attempt attempt, AttemptOutcome outcome, long nowMs) {
-        Exchange exchange = attempt.exchange();
-        Upstream upstream = attempt.upstream();
-        switch (outcome) {
-            case AttemptOutcome.NotSent notSent -> {
-                exchange.onNotSent();
-                recordFailure(upstream, outcome, nowMs);
-                upstream.closeIdleConnections();
-            }
-            case AttemptOutcome.NotRun notRun -> {
-                if (notRun.replaced()) {
-                    upstream.setReplaced();
-                }
-            }
-            case AttemptOutcome.Lost lost -> {
-                exchange.setMayHaveRun();
-                recordFailure(upstream, outcome, nowMs);
-                upstream.closeIdleConnections();
-                if (lost.disconnected()) {
-                    crashProtection.onDisconnected(upstream, exchange);
-                }
-            }
-            case AttemptOutcome.Failed failed -> {
-                exchange.setMayHaveRun();
-                recordFailure(upstream, outcome, nowMs);
-            }
-        }
-    }
-
-    private void recordFailure(Upstream upstream, AttemptOutcome outcome, long nowMs) {
-        if (upstream.health().onFailure(nowMs)) {
-            gateway.log()
-                    .event("upstream ejected")
-                    .field("upstream", upstream.entry().id())
-                    .field("reason", outcome.reason())
-                    .write();
-        }
+    private boolean mayRetry(Exchange exchange, AttemptOutcome outcome, long nowMs) {
+        return switch (outcome) {
+            case AttemptOutcome.BrokenOff broken -> false;
+            // A request that reached no upstream caused no load, so its retry does not count against the budget.
+            case AttemptOutcome.NotSent notSent -> retryPossible(exchange, nowMs);
+            case AttemptOutcome.NotRun notRun -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
+            case AttemptOutcome.Lost lost -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
+            case AttemptOutcome.Failed failed -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
+        };
     }
 
-    private boolean mayRetry(Exchange exchange, AttemptOutcome outcome, long nowMs) {
-        boolean retryAllowed = RetryPolicy.mayRetry(
-                exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs);
-        // A request that reached no upstream caused no load, so its retry does not count against the budget.
-        return retryAllowed
-                && upstreams.anyUntried(exchange)
-                && (outcome instanceof AttemptOutcome.NotSent || budget.tryAcquire(nowMs));
+    private boolean retryPossible(Exchange exchange, long nowMs) {
+        return RetryPolicy.mayRetry(
+                        exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs)
+                && upstreams.anyUntried(exchange);
     }
 
     private void endWithoutResponse(Exchange exchange, Attempt attempt, AttemptOutcome outcome) {
@@ -400,12 +370,8 @@
         }
         switch (outcome) {
             case AttemptOutcome.Failed failed -> deliver(exchange, failed.response(), attempt.upstream());
-            case AttemptOutcome.Lost lost ->
-                gateway.endWithProblem(
-                        exchange,
-                        ErrorKind.UPSTREAM_LOST,
-                        "the upstream returned no valid response; the request may have run",
-                        -1);
+            case AttemptOutcome.Lost lost -> endLost(exchange);
+            case AttemptOutcome.BrokenOff broken -> gateway.abort(exchange, broken.reason());
             case AttemptOutcome.NotRun notRun -> endNotRun(exchange);
             case AttemptOutcome.NotSent notSent -> endNotRun(exchange);
         }
@@ -413,16 +379,20 @@
 
     private void endNotRun(Exchange exchange) {
         if (exchange.mayHaveRun()) {
-            gateway.endWithProblem(
-                    exchange,
-                    ErrorKind.UPSTREAM_LOST,
-                    "the upstream returned no valid response; the request may have run",
-                    -1);
+            endLost(exchange);
         } else {
             refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream accepted the request");
         }
     }
 
+    private void endLost(Exchange exchange) {
+        gateway.endWithProblem(
+                exchange,
+                ErrorKind.UPSTREAM_LOST,
+                "the upstream returned no valid response; the request may have run",
+                -1);
+    }
+
     /** Cancels a request whose client has disconnected. The upstream may finish a non-idempotent request. */
     void cancel(Exchange exchange) {
         queue.remove(exchange);
