Cut a silent response off only if another upstream can take its request

A lookup of such a service was ended with 502 after 0.2 s of silence, though its route allows 2 s.

Change: a silent attempt is cancelled only if an upstream with capacity that was not tried is there now and the budget allows the retry. The outcome Stalled says that the budget was charged.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
@@ -28,6 +28,9 @@
         }
     }
 
+    /** The request was cancelled because its response made no progress; another upstream can take it. */
+    record Stalled(String reason) implements AttemptOutcome {}
+
     /**
      * The response broke off after a part of its body had been passed on to the client. No byte of another response may
      * follow, so the request can't be retried.
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OutcomeRecorder.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OutcomeRecorder.java
@@ -29,6 +29,7 @@
                 }
             }
             case AttemptOutcome.Lost lost -> recordLoss(attempt, lost, lost.disconnected(), nowMs);
+            case AttemptOutcome.Stalled stalled -> recordLoss(attempt, stalled, false, nowMs);
             case AttemptOutcome.BrokenOff broken -> recordLoss(attempt, broken, broken.disconnected(), nowMs);
             case AttemptOutcome.Failed failed -> {
                 exchange.setMayHaveRun();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -351,6 +351,8 @@
             case AttemptOutcome.BrokenOff broken -> false;
             // A request that reached no upstream caused no load, so its retry does not count against the budget.
             case AttemptOutcome.NotSent notSent -> retryPossible(exchange, nowMs);
+            // The budget was charged before the attempt was cancelled.
+            case AttemptOutcome.Stalled stalled -> retryPossible(exchange, nowMs);
             case AttemptOutcome.NotRun notRun -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
             case AttemptOutcome.Lost lost -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
             case AttemptOutcome.Failed failed -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
@@ -371,6 +373,7 @@
         switch (outcome) {
             case AttemptOutcome.Failed failed -> deliver(exchange, failed.response(), attempt.upstream());
             case AttemptOutcome.Lost lost -> endLost(exchange);
+            case AttemptOutcome.Stalled stalled -> endLost(exchange);
             case AttemptOutcome.BrokenOff broken -> gateway.abort(exchange, broken.reason());
             case AttemptOutcome.NotRun notRun -> endNotRun(exchange);
             case AttemptOutcome.NotSent notSent -> endNotRun(exchange);
@@ -443,9 +446,12 @@
                 gateway.endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline", -1);
             }
         } else if (RetryPolicy.isStalled(exchange.route(), attempt.progress(), statistics, nowMs)
-                && RetryPolicy.mayRetry(exchange.route(), exchange.sends(), true, exchange.deadlineMs() - nowMs)) {
+                && RetryPolicy.mayRetry(exchange.route(), exchange.sends(), true, exchange.deadlineMs() - nowMs)
+                && selector.select(upstreams.list(), exchange, engine, nowMs).isPresent()
+                && budget.tryAcquire(nowMs)) {
+            // Without another upstream that can take the request now, the silent one may still complete it.
             attempt.cancel();
-            onOutcome(attempt, new AttemptOutcome.Lost("response stalled"));
+            onOutcome(attempt, new AttemptOutcome.Stalled("response stalled"));
         }
     }
 
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamProgressTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamProgressTest.java
@@ -155,4 +155,49 @@
                 .containsExactly("id: 1", "id: 2", "id: 3", "id: 4");
         assertThat(first.requests().size() + second.requests().size()).isEqualTo(2);
     }
+
+    /** Guards against cutting off a silent stream although no other upstream can continue it. */
+    @Test
+    void keepsASilentStreamIfThereIsNoOtherUpstream() throws Exception {
+        fixture.streamingUpstream((request, output) -> {
+            output.writeStreamHead(request);
+            if (isBackground(request)) {
+                writeEvents(output, 1, BACKGROUND_EVENTS, "b", PAUSE_MS);
+                return;
+            }
+            output.writeChunk("id: 1\ndata: e\n\n");
+            Thread.sleep(700);
+            writeEvents(output, 2, 3, "e", 0);
+        });
+        fixture.start();
+        startBackgroundStream();
+
+        RawResponse response = fixture.post("/STREAMING/draft", "r1", "prompt");
+
+        assertThat(response.body()
+                        .lines()
+                        .filter(line -> line.startsWith("id:"))
+                        .toList())
+                .containsExactly("id: 1", "id: 2", "id: 3");
+    }
+
+    /** Guards against ending a request of a silent upstream early although no other upstream can serve it. */
+    @Test
+    void keepsASilentLookupIfThereIsNoOtherUpstream() throws Exception {
+        fixture.upstream(request -> {
+            sleep(1_500);
+            return GatewayFixture.ok(request, "stock");
+        });
+        fixture.start();
+
+        assertThat(fixture.get("/IDEMPOTENT/a", "k1", "r1").body()).isEqualTo("stock");
+    }
+
+    private static void sleep(long durationMs) {
+        try {
+            Thread.sleep(durationMs);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
