Heed upstreams that say that they leave or want no requests

Change: UpstreamNotices reads the head of each response that belongs to a request, also of errors, rejections, streams and requests whose client has left. UpstreamAvailability is the closed list of the reasons for which an upstream gets no request, with the time at which each ends; the selection of upstreams, which dispatch, retries, resumes and the queue go through, asks it. A connection that is established meanwhile is not used either. Leaving ends with the incarnation, also if an older listing names it again. After a back-off, requests return one each 50 ms for a second. If all upstreams of a service return too late for a request, or none is left, it is rejected at once, with the time of the first return as Retry-After.

Not done: other gateways don't learn of a notice; each finds out by its own first response.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -10,7 +10,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
-import org.kingcuproad.policy.gateway.AnnouncedLimit;
 import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.EventStreamParser;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -150,9 +149,7 @@
 
     void onHead(HttpResponse response) {
         head = response;
-        dispatcher.onAnnouncedLimit(
-                upstream,
-                AnnouncedLimit.parse(response.headers().get(dispatcher.names().requestLimit())));
+        dispatcher.onNotices(upstream, response);
         HttpResponseStatus status = response.status();
         boolean notExecuted = response.headers().contains(dispatcher.names().notExecuted());
         if (notExecuted || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/HeaderNames.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/HeaderNames.java
@@ -11,6 +11,7 @@
  * @param notExecuted set by an upstream that did not run the request
  * @param seal proof that the response was made by the upstream itself
  * @param requestLimit requests a second that an upstream accepts from all gateways together, while its responses say so
+ * @param leaving set to 1 by an upstream that is leaving
  * @param urgency priority in the upstream's own queue, 0 is the highest
  * @param tokenCount number of prompt tokens and maximum number of output tokens, separated by a comma
  * @param promptParts parts of the prompt in order, as {@code id:tokens} separated by commas; the last one belongs to
@@ -27,6 +28,7 @@
         String notExecuted,
         String seal,
         String requestLimit,
+        String leaving,
         String urgency,
         String tokenCount,
         String promptParts,
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -1,14 +1,15 @@
 package org.kingcuproad.gateway;
 
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
@@ -47,12 +48,14 @@
     private final ServiceStatistics statistics = new ServiceStatistics();
     private final CrashProtection crashProtection;
     private final OutcomeRecorder outcomeRecorder;
+    private final UpstreamNotices notices;
     private final UpstreamSelector selector;
     private boolean dispatching;
 
     ServiceDispatcher(Gateway gateway, String service, WindowedRetryBudget budget) {
         this.gateway = gateway;
         this.selector = new UpstreamSelector(gateway);
+        this.notices = new UpstreamNotices(gateway);
         this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
         this.outcomeRecorder = new OutcomeRecorder(crashProtection, gateway.log());
         this.budget = budget;
@@ -127,6 +130,10 @@
 
     /** Refuses a queued request that is expected to start too late. */
     private void refuseIfLate(Exchange exchange, long nowMs) {
+        if (returnsTooLate(exchange, nowMs) && queue.remove(exchange)) {
+            endUnservable(exchange);
+            return;
+        }
         QueueAdmissionDecision admission = QueueAdmissionDecision.of(
                 exchange.schedulingAttributes(), queue.size(), statistics, upstreams.acceptedPerSecond(), nowMs);
         if (admission.refused() && queue.remove(exchange)) {
@@ -176,14 +183,28 @@
         }
     }
 
+    /** Returns whether no upstream is left, or all of them want no requests until it is too late to start this one. */
+    private boolean returnsTooLate(Exchange exchange, long nowMs) {
+        OptionalLong pauseMs = upstreams.allBackingOffForMs(nowMs);
+        return !upstreams.anyUsable()
+                || (pauseMs.isPresent()
+                        && pauseMs.getAsLong() > exchange.schedulingAttributes().startDeadlineMs() - nowMs);
+    }
+
+    private void endUnservable(Exchange exchange) {
+        refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service accepts requests in time");
+    }
+
     private void refuse(Exchange exchange, ErrorKind kind, String detail) {
         long nowMs = nowMs();
-        long retryAfterMs = RetryAfter.of(
-                queue.size(),
-                statistics,
-                exchange.deadlineMs() - nowMs,
-                ThreadLocalRandom.current().nextDouble(),
-                nowMs);
+        long retryAfterMs = Math.max(
+                upstreams.allBackingOffForMs(nowMs).orElse(0),
+                RetryAfter.of(
+                        queue.size(),
+                        statistics,
+                        exchange.deadlineMs() - nowMs,
+                        ThreadLocalRandom.current().nextDouble(),
+                        nowMs));
         gateway.endWithProblem(exchange, kind, detail, retryAfterMs);
     }
 
@@ -239,6 +260,11 @@
             connection.close();
             return;
         }
+        if (!attempt.upstream().usable()) {
+            connection.close();
+            attempt.onFailure("the upstream is leaving");
+            return;
+        }
         long remainingMs = exchange.deadlineMs() - nowMs();
         attempt.onWritten(connection);
         connection.send(
@@ -262,9 +288,9 @@
         statistics.onEvent(eventMs);
     }
 
-    /** Records how many requests a second an upstream says that it accepts. */
-    void onAnnouncedLimit(Upstream upstream, OptionalDouble perSecond) {
-        gateway.upstreamLimits().onAnnounced(upstream, perSecond, nowMs());
+    /** Records what the head of a response says about the requests that its upstream accepts. */
+    void onNotices(Upstream upstream, HttpResponse response) {
+        notices.read(upstream, response);
     }
 
     void onMismatchedResponse(Attempt attempt, String responseId) {
@@ -417,6 +443,8 @@
         queue.removeMatching(
                         exchange -> !exchange.headSent() && !gateway.shutdown().admits(exchange, statistics, nowMs))
                 .forEach(gateway::endForShutdown);
+        queue.removeMatching(exchange -> !exchange.mayHaveRun() && returnsTooLate(exchange, nowMs))
+                .forEach(this::endUnservable);
         for (Exchange exchange : queue.removeExpired(nowMs)) {
             if (exchange.headSent()) {
                 gateway.abort(exchange, "no upstream had capacity to resume the stream");
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -4,8 +4,10 @@
 import java.util.Deque;
 import java.util.Iterator;
 import org.kingcuproad.policy.gateway.SharedRequestLimit;
+import org.kingcuproad.policy.gateway.UpstreamAvailability;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.UpstreamHealth;
+import org.kingcuproad.policy.gateway.UpstreamState;
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /** State of an upstream in this gateway: its idle connections, requests in progress, health and slowdown. */
@@ -27,6 +29,8 @@
     private boolean removed;
     private boolean replaced;
     private boolean crashed;
+    private boolean leaving;
+    private long backOffUntilMs = Long.MIN_VALUE / 2;
     private double slowdown = 1;
     private long slowdownReportedMs;
 
@@ -116,9 +120,62 @@
         return nowMs - slowdownReportedMs <= MAX_SLOWDOWN_AGE_MS ? slowdown : 1;
     }
 
-    /** Returns whether new requests may be sent to the upstream. */
+    /**
+     * Records that a response of the upstream said that it is leaving. It gets no more requests.
+     *
+     * @return whether it was not known before
+     */
+    boolean setLeaving() {
+        boolean first = !leaving;
+        leaving = true;
+        if (first) {
+            closeIdleConnections();
+        }
+        return first;
+    }
+
+    /**
+     * Records that the upstream rejected a request and said when to come back.
+     *
+     * @param delayMs time for which it wants no requests, in milliseconds
+     * @return whether that is later than what was known before
+     */
+    boolean backOff(long delayMs, long nowMs) {
+        boolean longer = nowMs + delayMs > backOffUntilMs;
+        backOffUntilMs = Math.max(backOffUntilMs, nowMs + delayMs);
+        return longer;
+    }
+
+    /** Takes over what an upstream said of itself that is the same incarnation. */
+    void inheritNotices(Upstream former) {
+        leaving = former.leaving;
+        backOffUntilMs = former.backOffUntilMs;
+    }
+
+    /** Returns whether new requests may be sent to the upstream now, and if not, why and until when. */
+    UpstreamAvailability availability(double limitShare, long nowMs) {
+        boolean withinRequestLimit = requestLimit.perSecond().isEmpty() || requestLimit.allows(limitShare, nowMs);
+        return UpstreamAvailability.of(
+                new UpstreamState(
+                        removed,
+                        replaced,
+                        entry.draining(),
+                        leaving,
+                        backOffUntilMs,
+                        lastSendMs,
+                        health.admits(inFlight, nowMs),
+                        withinRequestLimit),
+                nowMs);
+    }
+
+    /** Returns whether the upstream gets new requests in its present incarnation, now or later. */
     boolean usable() {
-        return !removed && !replaced && !entry.draining();
+        return !removed && !replaced && !leaving && !entry.draining();
+    }
+
+    /** Returns the time until which the upstream wants no requests, in milliseconds; it may have passed. */
+    long backOffUntilMs() {
+        return backOffUntilMs;
     }
 
     /** Stops sending requests to the upstream. Requests in progress continue. */
@@ -145,7 +202,7 @@
     }
 
     void addIdleConnection(UpstreamConnection connection) {
-        if (removed) {
+        if (!usable()) {
             connection.close();
         } else {
             idleConnections.addLast(connection);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
@@ -3,17 +3,28 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 
 /** The upstreams of one service, in a fixed order between updates. */
 final class UpstreamPool {
 
+    /** Number of removed upstreams that are remembered, in case that an older listing names them again. */
+    private static final int MAX_REMOVED = 1_000;
+
     private final Map<String, Upstream> upstreams = new HashMap<>();
+    private final Map<String, Upstream> removed = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Upstream> eldest) {
+            return size() > MAX_REMOVED;
+        }
+    };
     private List<Upstream> list = List.of();
 
     /** Replaces the set of upstreams. Requests in progress at removed upstreams continue. */
@@ -28,19 +39,34 @@
                             && existing.entry().port() == entry.port());
             if (existing == null || restarted || moved) {
                 if (existing != null) {
-                    existing.remove();
+                    remove(existing);
                 }
-                upstreams.put(entry.id(), new Upstream(entry));
+                upstreams.put(entry.id(), create(entry));
             } else {
                 existing.setEntry(entry);
             }
         }
         List<String> missing =
                 upstreams.keySet().stream().filter(id -> !present.contains(id)).toList();
-        missing.forEach(id -> Optional.ofNullable(upstreams.remove(id)).ifPresent(Upstream::remove));
+        missing.forEach(id -> Optional.ofNullable(upstreams.remove(id)).ifPresent(this::remove));
         list = List.copyOf(upstreams.values());
     }
 
+    private void remove(Upstream upstream) {
+        upstream.remove();
+        removed.put(upstream.entry().id(), upstream);
+    }
+
+    /** Creates an upstream. An incarnation that was listed before still is as it said of itself then. */
+    private Upstream create(UpstreamEntry entry) {
+        Upstream upstream = new Upstream(entry);
+        Upstream former = removed.get(entry.id());
+        if (former != null && former.entry().startedMs() == entry.startedMs()) {
+            upstream.inheritNotices(former);
+        }
+        return upstream;
+    }
+
     Collection<Upstream> all() {
         return upstreams.values();
     }
@@ -66,6 +92,21 @@
                         limits.stream().mapToDouble(OptionalDouble::getAsDouble).sum());
     }
 
+    /**
+     * Returns the time until the first upstream returns, if all of them want no requests now.
+     *
+     * @return the time in milliseconds, or empty if there is an upstream that has not asked for a pause
+     */
+    OptionalLong allBackingOffForMs(long nowMs) {
+        OptionalLong firstMs = list.stream()
+                .filter(Upstream::usable)
+                .mapToLong(Upstream::backOffUntilMs)
+                .min();
+        return firstMs.isPresent() && firstMs.getAsLong() > nowMs
+                ? OptionalLong.of(firstMs.getAsLong() - nowMs)
+                : OptionalLong.empty();
+    }
+
     /** Returns whether there is an upstream to which a request has not been sent yet. */
     boolean anyUntried(Exchange exchange) {
         return list.stream()
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.OptionalInt;
 import org.kingcuproad.policy.gateway.LeastCostSelector;
+import org.kingcuproad.policy.gateway.UpstreamAvailability;
 import org.kingcuproad.policy.gateway.UpstreamCandidate;
 
 /** Selects the upstream of a service to which a request is sent. */
@@ -29,10 +30,11 @@
     }
 
     private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, long nowMs) {
-        boolean admitted = upstream.usable()
-                && !exchange.tried(upstream.entry().id())
-                && upstream.health().admits(upstream.inFlight(), nowMs)
-                && withinRequestLimit(upstream, nowMs);
+        boolean available = switch (upstream.availability(gateway.peerLoads().reportingShare(nowMs), nowMs)) {
+            case UpstreamAvailability.Available yes -> true;
+            case UpstreamAvailability.Unavailable no -> false;
+        };
+        boolean admitted = available && !exchange.tried(upstream.entry().id());
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
@@ -44,9 +46,4 @@
                 upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
                 admitted);
     }
-
-    private boolean withinRequestLimit(Upstream upstream, long nowMs) {
-        return upstream.requestLimit().perSecond().isEmpty()
-                || upstream.requestLimit().allows(gateway.peerLoads().reportingShare(nowMs), nowMs);
-    }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -49,6 +49,7 @@
             "X-Not-Run",
             "X-Seal",
             "X-Limit",
+            "X-Leaving",
             "X-Urgency",
             "X-Tokens",
             "X-Parts",
