Compute the share of reporting gateways once a selection

Since requests to leaving upstreams are held back, UpstreamSelector computed PeerLoads.reportingShare, which looks at all gateways, for each candidate; before, only upstreams with a limit needed it. The share is the same for all candidates, so it is computed once. Behaviour is unchanged.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -23,14 +23,15 @@
      * @return the index of the upstream, or empty if none can take the request now
      */
     OptionalInt select(List<Upstream> upstreams, Exchange exchange, boolean engine, long nowMs) {
+        double limitShare = gateway.peerLoads().reportingShare(nowMs);
         List<UpstreamCandidate> candidates = upstreams.stream()
-                .map(upstream -> candidate(upstream, exchange, nowMs))
+                .map(upstream -> candidate(upstream, exchange, limitShare, nowMs))
                 .toList();
         return LeastCostSelector.select(candidates, engine, rotation++);
     }
 
-    private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, long nowMs) {
-        boolean available = switch (upstream.availability(gateway.peerLoads().reportingShare(nowMs), nowMs)) {
+    private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, double limitShare, long nowMs) {
+        boolean available = switch (upstream.availability(limitShare, nowMs)) {
             case UpstreamAvailability.Available yes -> true;
             case UpstreamAvailability.Unavailable no -> false;
         };
