Write the last log lines before a process exits

Cause: LineSink.flush waited until its queue was empty, but the writer takes all lines from the queue before it writes them. A process that exits then ends the writer, and the lines on the end of its last requests are lost. Change: flush waits until each line that was taken has been written. LineSinkTest failed before (empty output), passes now.

--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
@@ -22,6 +22,7 @@
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong unwritten = new AtomicLong();
     private final OutputStream output;
 
     /**
@@ -42,7 +43,9 @@
      * @param line the line, without its end
      */
     public void offer(String line) {
+        unwritten.incrementAndGet();
         if (!queue.offer(line)) {
+            unwritten.decrementAndGet();
             dropped.incrementAndGet();
         }
     }
@@ -54,7 +57,7 @@
      */
     public void flush(long limitMs) {
         long endNs = System.nanoTime() + limitMs * 1_000_000;
-        while (!queue.isEmpty() && System.nanoTime() < endNs) {
+        while (unwritten.get() > 0 && System.nanoTime() < endNs) {
             try {
                 Thread.sleep(1);
             } catch (InterruptedException interrupted) {
@@ -67,9 +70,11 @@
     private void run() {
         List<String> batch = new ArrayList<>();
         while (true) {
+            int taken = 0;
             try {
                 batch.add(queue.take());
                 queue.drainTo(batch);
+                taken = batch.size();
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
                     batch.add("{\"event\":\"log lines dropped\",\"count\":" + lost + "}");
@@ -84,6 +89,7 @@
                 dropped.addAndGet(batch.size());
             }
             batch.clear();
+            unwritten.addAndGet(-taken);
         }
     }
 }
