--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AccessLog.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AccessLog.java
@@ -20,8 +20,9 @@
      * @param upstreamId id of the upstream that responded, or empty
      * @param durationMs time since the request arrived, in milliseconds
      * @param waiting number of other requests queued for the service
+     * @param stopping whether the gateway was shutting down
      */
-    record Summary(int status, String outcome, String upstreamId, long durationMs, int waiting) {}
+    record Summary(int status, String outcome, String upstreamId, long durationMs, int waiting, boolean stopping) {}
 
     static void write(DecisionLog log, Exchange exchange, Summary summary, StoreView storeView) {
         log.event("request finished")
@@ -38,6 +39,11 @@
                 .field("durationMs", summary.durationMs)
                 .field("timeAllowedMs", exchange.deadlineMs() - exchange.arrivedMs())
                 .field("waiting", summary.waiting)
+                .field("seal", exchange.forwarded().seal())
+                .field("end", exchange.forwarded().completion())
+                .field("events", exchange.forwarded().events())
+                .field("bytes", exchange.forwarded().bytes())
+                .field("stopping", summary.stopping)
                 .field(
                         "configuration",
                         storeView
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -6,12 +6,12 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.EventStreamParser;
+import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.StreamEvent;
 
@@ -49,6 +49,9 @@
     private @Nullable HttpResponse head;
     private @Nullable AttemptOutcome discardOutcome;
     private @Nullable UpstreamConnection connection;
+    private ResponseFraming framing = ResponseFraming.CONNECTION;
+    private long receivedEvents;
+    private long receivedBytes;
     private boolean written;
     private boolean responseStarted;
     private boolean ended;
@@ -100,9 +103,20 @@
 
     /** Returns whether the response says where it ends, so that its end can't be confused with a crash. */
     boolean responseFramed() {
+        return framing != ResponseFraming.CONNECTION;
+    }
+
+    /** Describes the response for the log. */
+    ResponseSummary summary() {
         HttpResponse response = head;
-        return response != null
-                && (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+        return response == null
+                ? ResponseSummary.NONE
+                : new ResponseSummary(
+                        response.status().code(), seal(response), framing.toString(), receivedEvents, receivedBytes);
+    }
+
+    private String seal(HttpResponse response) {
+        return response.headers().get(dispatcher.names().seal(), "");
     }
 
     boolean ended() {
@@ -147,8 +161,9 @@
         dispatcher.onMismatchedResponse(this, responseId);
     }
 
-    void onHead(HttpResponse response) {
+    void onHead(HttpResponse response, ResponseFraming responseFraming) {
         head = response;
+        framing = responseFraming;
         dispatcher.onNotices(upstream, response);
         HttpResponseStatus status = response.status();
         boolean notExecuted = response.headers().contains(dispatcher.names().notExecuted());
@@ -190,9 +205,10 @@
         if (detached) {
             return;
         }
+        receivedBytes += bytes.readableBytes();
         switch (mode) {
             case BUFFERED -> buffer(bytes);
-            case FORWARDED -> exchange.connection().sendContent(ByteBufUtil.getBytes(bytes));
+            case FORWARDED -> forward(ByteBufUtil.getBytes(bytes));
             case EVENTS -> onEventBytes(bytes);
             case DISCARDED -> discard(bytes.readableBytes());
             case AWAITING_HEAD -> {}
@@ -206,12 +222,17 @@
         buffered.writeBytes(ByteBufUtil.getBytes(bytes));
         if (buffered.size() > MAX_BUFFERED_BYTES) {
             forwardHead();
-            exchange.connection().sendContent(buffered.toByteArray());
+            forward(buffered.toByteArray());
             buffered.reset();
             mode = ResponseMode.FORWARDED;
         }
     }
 
+    private void forward(byte[] bytes) {
+        exchange.forwarded().onBytes(bytes.length);
+        exchange.connection().sendContent(bytes);
+    }
+
     private void discard(int bytes) {
         AttemptOutcome outcome = discardOutcome;
         discardedBytes += bytes;
@@ -261,6 +282,7 @@
         if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
             recordProgress(events);
         }
+        receivedEvents += events.size();
         for (StreamEvent event : events) {
             if (event.id() != StreamEvent.NO_ID && event.id() <= exchange.lastEventId()) {
                 continue;
@@ -268,9 +290,7 @@
             if (!exchange.headSent()) {
                 forwardHead();
             }
-            if (event.id() != StreamEvent.NO_ID) {
-                exchange.setLastEventId(event.id());
-            }
+            exchange.forwarded().onEvent(event);
             exchange.connection().sendContent(event.bytes());
         }
     }
@@ -280,7 +300,7 @@
         if (response == null) {
             throw new IllegalStateException("the response has not started");
         }
-        exchange.setHeadSent();
+        exchange.forwarded().onHead(seal(response));
         exchange.connection()
                 .sendHead(
                         mode == ResponseMode.EVENTS
@@ -301,6 +321,7 @@
         if (ended) {
             return;
         }
+        exchange.forwarded().onComplete(framing.toString());
         HttpResponse response = head;
         AttemptOutcome discarded = discardOutcome;
         boolean partialEvent = mode == ResponseMode.EVENTS && (parser.hasPartialEvent() || !exchange.headSent());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -9,7 +9,6 @@
 import org.kingcuproad.policy.gateway.GatewayRoute;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.SchedulingAttributes;
-import org.kingcuproad.policy.gateway.StreamEvent;
 
 /** One client request, from its complete body to its complete response. All methods are called on the event loop. */
 final class Exchange {
@@ -53,9 +52,8 @@
     private long lastProgressMs = NEVER;
     private long longestGapMs;
     private boolean mayHaveRun;
-    private boolean headSent;
     private boolean done;
-    private long lastEventId;
+    private final ForwardedResponse forwarded = new ForwardedResponse();
     private @Nullable Attempt attempt;
     private @Nullable String lastFailure;
 
@@ -80,7 +78,6 @@
         this.outputTokens = routed.outputTokens();
         this.promptParts = routed.promptParts();
         this.deadlineMs = arrivedMs + routed.timeAllowedMs();
-        this.lastEventId = StreamEvent.NO_ID;
     }
 
     ClientConnection connection() {
@@ -194,12 +191,13 @@
         mayHaveRun = true;
     }
 
-    boolean headSent() {
-        return headSent;
+    /** Returns what has been passed on to the client. */
+    ForwardedResponse forwarded() {
+        return forwarded;
     }
 
-    void setHeadSent() {
-        headSent = true;
+    boolean headSent() {
+        return forwarded.headSent();
     }
 
     boolean done() {
@@ -214,11 +212,7 @@
     }
 
     long lastEventId() {
-        return lastEventId;
-    }
-
-    void setLastEventId(long id) {
-        lastEventId = id;
+        return forwarded.lastEventId();
     }
 
     @Nullable
@@ -248,8 +242,8 @@
                 ? (long) (STREAM_START_FRACTION
                         * Math.max(STREAM_ABANDON_MS, STREAM_ABANDON_GOALS * route.latencyGoalMs()))
                 : (long) (NON_STREAMING_START_FRACTION * (deadlineMs - arrivedMs));
-        long startDeadlineMs = headSent ? deadlineMs : Math.min(deadlineMs, arrivedMs + maxStartDelayMs);
+        long startDeadlineMs = headSent() ? deadlineMs : Math.min(deadlineMs, arrivedMs + maxStartDelayMs);
         return new SchedulingAttributes(
-                arrivedMs, arrivedMs + route.latencyGoalMs(), startDeadlineMs, headSent ? -1 : priority);
+                arrivedMs, arrivedMs + route.latencyGoalMs(), startDeadlineMs, headSent() ? -1 : priority);
     }
 }
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedResponse.java
@@ -0,0 +1,73 @@
+package org.kingcuproad.gateway;
+
+import org.kingcuproad.policy.gateway.StreamEvent;
+
+/** What has been passed on to the client of the response to its request, by one attempt or several. */
+final class ForwardedResponse {
+
+    private boolean headSent;
+    private String seal = "";
+    private long lastEventId = StreamEvent.NO_ID;
+    private long events;
+    private long bytes;
+    private String completion = "";
+
+    /**
+     * Records that the head has been passed on.
+     *
+     * @param responseSeal seal of the upstream's response, empty if it has none
+     */
+    void onHead(String responseSeal) {
+        headSent = true;
+        seal = responseSeal;
+    }
+
+    void onEvent(StreamEvent event) {
+        events++;
+        bytes += event.bytes().length;
+        if (event.id() != StreamEvent.NO_ID) {
+            lastEventId = event.id();
+        }
+    }
+
+    void onBytes(long count) {
+        bytes += count;
+    }
+
+    /**
+     * Records why the response was taken for complete.
+     *
+     * @param evidence description for the log
+     */
+    void onComplete(String evidence) {
+        completion = evidence;
+    }
+
+    boolean headSent() {
+        return headSent;
+    }
+
+    /** Returns the seal of the upstream whose head was passed on, empty if there was none. */
+    String seal() {
+        return seal;
+    }
+
+    /** Returns the id of the last event, or {@link StreamEvent#NO_ID}. */
+    long lastEventId() {
+        return lastEventId;
+    }
+
+    long events() {
+        return events;
+    }
+
+    /** Returns why the response was taken for complete, empty if it was not. */
+    String completion() {
+        return completion;
+    }
+
+    /** Returns the size of what was passed on of the body, in bytes. */
+    long bytes() {
+        return bytes;
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -431,7 +431,8 @@
                         outcome,
                         upstreamId,
                         durationMs,
-                        dispatcher(exchange.service()).queued()),
+                        dispatcher(exchange.service()).queued(),
+                        draining()),
                 storeView);
         exchange.setDone();
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -316,6 +316,8 @@
     private void deliver(Exchange exchange, BufferedResponse buffered, Upstream upstream) {
         boolean headRequest = exchange.head().method().equals(HttpMethod.HEAD);
         recordDuration(exchange);
+        exchange.forwarded().onHead(buffered.head().headers().get(names().seal(), ""));
+        exchange.forwarded().onBytes(buffered.body().length);
         var response = ForwardedMessages.completeResponse(buffered, headRequest);
         exchange.connection().sendHead(response, true);
         ReferenceCountUtil.safeRelease(response);
@@ -351,6 +353,7 @@
         long nowMs = nowMs();
         outcomeRecorder.record(attempt, outcome, nowMs);
         boolean retry = mayRetry(exchange, outcome, nowMs);
+        ResponseSummary response = attempt.summary();
         gateway.log()
                 .event("attempt failed")
                 .field("request", exchange.requestId())
@@ -358,7 +361,13 @@
                 .field("outcome", outcome.getClass().getSimpleName())
                 .field("reason", outcome.reason())
                 .field("sentForMs", nowMs - attempt.sentMs())
+                .field("deadlineInMs", exchange.deadlineMs() - nowMs)
                 .field("responseStarted", attempt.responseStarted())
+                .field("status", response.status())
+                .field("seal", response.seal())
+                .field("framing", response.framing())
+                .field("events", response.events())
+                .field("bytes", response.bytes())
                 .field("lastEvent", exchange.lastEventId())
                 .field("inFlight", attempt.upstream().inFlight())
                 .field("prompt", String.join(",", exchange.promptParts()))
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -6,12 +6,15 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.gateway.ResponseFraming;
 
 /**
  * A connection to an upstream, with at most one request in progress.
@@ -155,13 +158,26 @@
             fail("response without a request id on a reused connection");
             return;
         }
-        readConnectionHeaders(response);
-        current.onHead(response);
+        ResponseFraming framing = framing(response, current.exchange().head().method());
+        readConnectionHeaders(response, framing);
+        current.onHead(response, framing);
     }
 
-    private void readConnectionHeaders(HttpResponse response) {
-        boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        closeAfterResponse = !HttpUtil.isKeepAlive(response) || !framed;
+    private static ResponseFraming framing(HttpResponse response, HttpMethod method) {
+        boolean empty = method.equals(HttpMethod.HEAD)
+                || response.status().equals(HttpResponseStatus.NO_CONTENT)
+                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
+        if (empty) {
+            return ResponseFraming.NO_BODY;
+        }
+        if (HttpUtil.isTransferEncodingChunked(response)) {
+            return ResponseFraming.CHUNKS;
+        }
+        return HttpUtil.isContentLengthSet(response) ? ResponseFraming.LENGTH : ResponseFraming.CONNECTION;
+    }
+
+    private void readConnectionHeaders(HttpResponse response, ResponseFraming framing) {
+        closeAfterResponse = !HttpUtil.isKeepAlive(response) || framing == ResponseFraming.CONNECTION;
         String keepAlive = response.headers().get(KEEP_ALIVE);
         if (keepAlive != null) {
             for (String element : keepAlive.split(",")) {
