--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -73,6 +73,7 @@
     private int orderAttempts = 1;
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
+    private int maxBodyBytes = 10_000;
 
     GatewayFixture() throws IOException {
         this.port = freePort();
@@ -118,6 +119,11 @@
         orderAttempts = newOrderAttempts;
     }
 
+    /** Sets the size of a request body up to which clients are served. */
+    void setMaxBodyBytes(int newMaxBodyBytes) {
+        maxBodyBytes = newMaxBodyBytes;
+    }
+
     void setHeaderTimeoutMs(long newHeaderTimeoutMs) {
         headerTimeoutMs = newHeaderTimeoutMs;
     }
@@ -185,7 +191,7 @@
                         route(RouteKind.NON_IDEMPOTENT, orderAttempts),
                         route(RouteKind.STREAMING, 2)),
                 Map.of("desk", new ServiceConfiguration("desk", 10, engines, 0, Optional.empty(), 120)),
-                new ClientLimits(8_192, 10_000, headerTimeoutMs, 5_000),
+                new ClientLimits(8_192, maxBodyBytes, headerTimeoutMs, 5_000),
                 true,
                 Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
         HttpServer store = startStore();
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamingUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamingUpstream.java
@@ -1,5 +1,6 @@
 package org.kingcuproad.gateway;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -38,6 +39,13 @@
             connection.close();
         }
 
+        /** Closes the connection and the listening socket, as the end of the process does. */
+        void crash() throws IOException {
+            socket.close();
+            connection.close();
+            throw new EOFException("crash");
+        }
+
         void write(String text) throws IOException {
             byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
             stream.write(bytes);
