Judge whether a response that ends with its connection is complete

Cause: a response with neither length nor chunks ends with its connection, and so does one that was cut off. Each such end at the boundary of an event was taken for complete, whatever else the gateway knew. The class of the fault: silence of a peer is read as a statement. Change: ResponseEnd (pure) decides: complete by length or last chunk; cut off if there was no event, the request could not be written, or the deadline has come; otherwise unproven, and the end is confirmed by one new connection, as UpstreamCrashDetector already does for prompts. A refused one shows a crash: the request is resumed or retried, or the caller sees that it is incomplete. The connection is kept for later requests, which need a new one anyway. An upstream that said it is leaving may have ended as planned and is believed. UpstreamCrashDetectorTest's listener for answered prompts is replaced by the callback of each response; its assertions stay and one case is added.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -10,7 +10,9 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.AttemptProgress;
+import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.EventStreamParser;
+import org.kingcuproad.policy.gateway.ResponseEnd;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.StreamEvent;
@@ -61,6 +63,9 @@
     private long discardedBytes;
     private long bytesWithoutProgress;
     private boolean readingPaused;
+    private boolean advanced;
+    private boolean confirming;
+    private boolean endProven;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
         this.dispatcher = dispatcher;
@@ -88,7 +93,8 @@
 
     /** Returns the progress so far, from which a stalled request is told from a slow one. */
     AttemptProgress progress() {
-        return new AttemptProgress(responseStarted, sentMs, lastEventMs, longestIntervalMs, readingPaused);
+        return new AttemptProgress(
+                responseStarted, sentMs, lastEventMs, longestIntervalMs, readingPaused || confirming);
     }
 
     boolean responseStarted() {
@@ -101,9 +107,9 @@
         return response != null && response.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
-    /** Returns whether the response says where it ends, so that its end can't be confused with a crash. */
-    boolean responseFramed() {
-        return framing != ResponseFraming.CONNECTION;
+    /** Returns whether the response is known to be complete, rather than cut off by a crash. */
+    boolean endProven() {
+        return endProven;
     }
 
     /** Describes the response for the log. */
@@ -280,6 +286,7 @@
 
     private void onEvents(List<StreamEvent> events) {
         if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
+            advanced = true;
             recordProgress(events);
         }
         receivedEvents += events.size();
@@ -317,23 +324,63 @@
         }
     }
 
-    void onEnd() {
+    /**
+     * Ends the attempt when the end of its response has been read.
+     *
+     * @param requestWritten whether the request could be written
+     */
+    void onEnd(boolean requestWritten) {
         if (ended) {
             return;
         }
-        exchange.forwarded().onComplete(framing.toString());
-        HttpResponse response = head;
         AttemptOutcome discarded = discardOutcome;
-        boolean partialEvent = mode == ResponseMode.EVENTS && (parser.hasPartialEvent() || !exchange.headSent());
-        end();
         if (detached) {
+            end();
+        } else if (discarded != null) {
+            end();
+            dispatcher.onOutcome(this, discarded);
+        } else if (!succeeded()) {
+            complete(framing.toString());
+        } else {
+            switch (ResponseEnd.of(endedResponse(requestWritten), dispatcher.nowMs())) {
+                case ResponseEnd.Complete end -> {
+                    endProven = true;
+                    complete(end.evidence());
+                }
+                case ResponseEnd.CutOff end -> onDisconnected(end.reason());
+                case ResponseEnd.Unproven end -> {
+                    confirming = true;
+                    dispatcher.confirmEnd(this);
+                }
+            }
+        }
+    }
+
+    private EndedResponse endedResponse(boolean requestWritten) {
+        EndedResponse.Events events = mode == ResponseMode.EVENTS
+                ? new EndedResponse.Events(true, parser.hasPartialEvent(), exchange.headSent(), advanced)
+                : EndedResponse.Events.NONE;
+        return new EndedResponse(framing, requestWritten, exchange.deadlineMs(), events);
+    }
+
+    /** Ends the attempt when it is known whether its upstream still listens after the connection has ended. */
+    void onEndProbed(ProbeResult result) {
+        if (ended || detached) {
             return;
         }
-        if (discarded != null) {
-            dispatcher.onOutcome(this, discarded);
-        } else if (partialEvent) {
-            dispatcher.onOutcome(this, new AttemptOutcome.Lost("stream ended before a complete event", true));
-        } else if (mode == ResponseMode.BUFFERED && response != null) {
+        if (result == ProbeResult.REFUSED) {
+            onFailure("the connection ended and the upstream no longer listens");
+        } else {
+            endProven = result == ProbeResult.LISTENING;
+            complete(framing + ", " + result);
+        }
+    }
+
+    private void complete(String evidence) {
+        HttpResponse response = head;
+        end();
+        exchange.forwarded().onComplete(evidence);
+        if (mode == ResponseMode.BUFFERED && response != null) {
             BufferedResponse bufferedResponse = new BufferedResponse(response, buffered.toByteArray());
             if (response.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
                 dispatcher.onOutcome(
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
@@ -57,19 +57,22 @@
         afterCrash.run();
     }
 
-    /** Records a complete response. */
-    void onResponse(Attempt attempt) {
-        List<String> promptParts = attempt.exchange().promptParts();
-        if (attempt.succeeded() && attempt.responseFramed()) {
-            onAnswered(promptParts);
-        } else if (attempt.succeeded() && attempt.upstream().usable()) {
-            detector.onEndedWithConnection(attempt.upstream(), promptParts);
+    /** Finds out whether an upstream still listens whose response ended with its connection. */
+    void confirmEnd(Attempt attempt) {
+        if (attempt.upstream().announcedLeaving()) {
+            // It may have ended as planned after its last response.
+            attempt.onEndProbed(ProbeResult.UNKNOWN);
+        } else {
+            detector.onEndedWithConnection(
+                    attempt.upstream(), attempt.exchange().promptParts(), attempt::onEndProbed);
         }
     }
 
-    @Override
-    public void onAnswered(List<String> promptParts) {
-        guard.onAnswered(promptParts, gateway.clock().steadyMs());
+    /** Records a complete response. */
+    void onResponse(Attempt attempt) {
+        if (attempt.succeeded() && attempt.endProven()) {
+            guard.onAnswered(attempt.exchange().promptParts(), gateway.clock().steadyMs());
+        }
     }
 
     /**
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -307,6 +307,11 @@
         gateway.execute(this::dispatch);
     }
 
+    /** Finds out whether an upstream still listens whose response ended with its connection. */
+    void confirmEnd(Attempt attempt) {
+        crashProtection.confirmEnd(attempt);
+    }
+
     void onResponse(Attempt attempt, BufferedResponse response) {
         activeAttempts.remove(attempt);
         crashProtection.onResponse(attempt);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -173,6 +173,11 @@
         return !removed && !replaced && !leaving && !entry.draining();
     }
 
+    /** Returns whether the upstream has said, in a response or in the register, that it is about to end. */
+    boolean announcedLeaving() {
+        return leaving || entry.draining();
+    }
+
     /** Returns the time until which the upstream wants no requests, in milliseconds; it may have passed. */
     long backOffUntilMs() {
         return backOffUntilMs;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -213,10 +213,16 @@
         if (content instanceof LastHttpContent && attempt == current) {
             attempt = null;
             responseRead = true;
-            current.onEnd();
+            current.onEnd(!requestFailed());
         }
     }
 
+    /** Returns whether the request could not be written, which closes the connection without a read error. */
+    private boolean requestFailed() {
+        ChannelFuture writeFuture = requestWrite;
+        return writeFuture != null && writeFuture.isDone() && !writeFuture.isSuccess();
+    }
+
     private void skip(HttpContent content) {
         skippedBytes += content.content().readableBytes();
         if (skippedBytes > MAX_SKIPPED_BYTES) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -31,17 +31,13 @@
          * @param prompts prompt parts of the requests
          */
         void onCrash(Upstream upstream, List<List<String>> prompts);
-
-        /**
-         * Receives a request whose response was complete although it ended with its connection.
-         *
-         * @param promptParts prompt parts of the request
-         */
-        void onAnswered(List<String> promptParts);
     }
 
+    /** A response that ended with its connection, and who wants to know whether it is complete. */
+    private record Ended(List<String> promptParts, Consumer<ProbeResult> onProbed) {}
+
     /** Requests at an upstream that may have crashed: those that were cut off and those that may be complete. */
-    private record Suspicion(List<List<String>> lost, List<List<String>> ended) {}
+    private record Suspicion(List<List<String>> lost, List<Ended> ended) {}
 
     UpstreamCrashDetector(BiConsumer<Upstream, Consumer<ProbeResult>> probe, Listener listener) {
         this.probe = probe;
@@ -57,10 +53,17 @@
         }
     }
 
-    /** Records a successful response without a length, whose end is that of its connection. */
-    void onEndedWithConnection(Upstream upstream, List<String> promptParts) {
-        if (!promptParts.isEmpty() && !upstream.crashed()) {
-            suspect(upstream).ended.add(promptParts);
+    /**
+     * Finds out whether a successful response is complete whose end is that of its connection.
+     *
+     * @param onProbed receives whether the upstream still listens
+     */
+    void onEndedWithConnection(Upstream upstream, List<String> promptParts, Consumer<ProbeResult> onProbed) {
+        if (upstream.crashed()) {
+            onDisconnected(upstream, promptParts);
+            onProbed.accept(ProbeResult.REFUSED);
+        } else {
+            suspect(upstream).ended.add(new Ended(promptParts, onProbed));
         }
     }
 
@@ -80,16 +83,16 @@
         if (suspicion == null) {
             return;
         }
-        switch (result) {
-            case REFUSED -> {
-                upstream.setCrashed();
-                listener.onCrash(
-                        upstream,
-                        Stream.concat(suspicion.lost.stream(), suspicion.ended.stream())
-                                .toList());
+        if (result == ProbeResult.REFUSED) {
+            upstream.setCrashed();
+            List<List<String>> prompts = Stream.concat(
+                            suspicion.lost.stream(), suspicion.ended.stream().map(Ended::promptParts))
+                    .filter(promptParts -> !promptParts.isEmpty())
+                    .toList();
+            if (!prompts.isEmpty()) {
+                listener.onCrash(upstream, prompts);
             }
-            case LISTENING -> suspicion.ended.forEach(listener::onAnswered);
-            case UNKNOWN -> {}
         }
+        suspicion.ended.forEach(ended -> ended.onProbed.accept(result));
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -17,19 +17,9 @@
     private final Upstream upstream = new Upstream(new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0));
     private final List<Consumer<ProbeResult>> probes = new ArrayList<>();
     private final List<List<List<String>>> crashes = new ArrayList<>();
-    private final List<List<String>> answered = new ArrayList<>();
-    private final UpstreamCrashDetector detector =
-            new UpstreamCrashDetector((probed, result) -> probes.add(result), new UpstreamCrashDetector.Listener() {
-                @Override
-                public void onCrash(Upstream crashed, List<List<String>> prompts) {
-                    crashes.add(prompts);
-                }
-
-                @Override
-                public void onAnswered(List<String> promptParts) {
-                    answered.add(promptParts);
-                }
-            });
+    private final List<ProbeResult> ended = new ArrayList<>();
+    private final UpstreamCrashDetector detector = new UpstreamCrashDetector(
+            (probed, result) -> probes.add(result), (crashed, prompts) -> crashes.add(prompts));
 
     @Test
     void reportsAllRequestsLostWithACrashAfterOneProbe() {
@@ -57,17 +47,29 @@
     /** Guards against taking a stream that a crash cut off between two events for an answer. */
     @Test
     void tellsAResponseThatEndsWithItsConnectionFromACrash() {
-        detector.onEndedWithConnection(upstream, List.of("a"));
-        assertThat(answered).isEmpty();
+        detector.onEndedWithConnection(upstream, List.of("a"), ended::add);
+        assertThat(ended).isEmpty();
         probes.getFirst().accept(ProbeResult.LISTENING);
-        assertThat(answered).containsExactly(List.of("a"));
+        assertThat(ended).containsExactly(ProbeResult.LISTENING);
 
-        detector.onEndedWithConnection(upstream, List.of("b"));
+        detector.onEndedWithConnection(upstream, List.of("b"), ended::add);
         probes.get(1).accept(ProbeResult.REFUSED);
-        assertThat(answered).hasSize(1);
+        assertThat(ended).containsExactly(ProbeResult.LISTENING, ProbeResult.REFUSED);
         assertThat(crashes).containsExactly(List.of(List.of("b")));
     }
 
+    /** Guards against completing a response of an upstream whose crash is known, or that has no prompt. */
+    @Test
+    void refutesTheEndOfAResponseAfterACrash() {
+        detector.onEndedWithConnection(upstream, List.of(), ended::add);
+        probes.getFirst().accept(ProbeResult.REFUSED);
+        detector.onEndedWithConnection(upstream, List.of(), ended::add);
+
+        assertThat(ended).containsExactly(ProbeResult.REFUSED, ProbeResult.REFUSED);
+        assertThat(crashes).isEmpty();
+        assertThat(probes).hasSize(1);
+    }
+
     @Test
     void takesOnlyARefusedConnectionForACrash() {
         assertThat(ProbeResult.of(null)).isEqualTo(ProbeResult.LISTENING);
--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -0,0 +1,63 @@
+package org.kingcuproad.policy.gateway;
+
+/**
+ * Decides whether a successful response is complete when its end has been read.
+ *
+ * <p>This answers the load of upstreams in trouble whose responses state neither a length nor chunks. Such a response
+ * ends with its connection, and so does one that was cut off; a client that gets a part as the whole never asks again.
+ */
+public sealed interface ResponseEnd {
+
+    /**
+     * Time before the deadline from which the end of a connection is taken for that of the upstream's work. Upstreams
+     * count the time that they are given in whole milliseconds, and their timers and this gateway's differ by a few.
+     */
+    long DEADLINE_TOLERANCE_MS = 25;
+
+    /**
+     * The response is complete.
+     *
+     * @param evidence why, for the log
+     */
+    record Complete(String evidence) implements ResponseEnd {}
+
+    /**
+     * The response was cut off.
+     *
+     * @param reason why it can't be complete
+     */
+    record CutOff(String reason) implements ResponseEnd {}
+
+    /** The response is complete unless the upstream has crashed. */
+    record Unproven() implements ResponseEnd {}
+
+    /**
+     * Decides about a response.
+     *
+     * @param response what is known of it
+     * @param nowMs current time, in milliseconds
+     * @return whether it is complete
+     */
+    static ResponseEnd of(EndedResponse response, long nowMs) {
+        EndedResponse.Events events = response.events();
+        if (events.partial()) {
+            return new CutOff("the stream ended inside an event");
+        }
+        if (events.expected() && !events.any()) {
+            return new CutOff("the stream ended before its first event");
+        }
+        if (response.framing() != ResponseFraming.CONNECTION) {
+            return new Complete(response.framing().toString());
+        }
+        if (!response.requestWritten()) {
+            return new CutOff("the connection ended while the request was written");
+        }
+        if (events.expected() && !events.advanced()) {
+            return new CutOff("the connection ended before an event of the resumed stream");
+        }
+        if (nowMs >= response.deadlineMs() - DEADLINE_TOLERANCE_MS) {
+            return new CutOff("the connection ended at the deadline");
+        }
+        return new Unproven();
+    }
+}
