Break off a stream of events without ids instead of resuming it

What callers saw: the first events twice, after the upstream had broken the stream off (ORDER). Cause: a stream is resumed after the last id that was passed on; events without an id leave none, so the next upstream begins anew. Change: ForwardedResponse knows whether what was passed on can be continued; an attempt after which it can't be ends as BrokenOff, as large bodies do.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -421,11 +421,16 @@
         if (!written) {
             return new AttemptOutcome.NotSent(reason);
         }
-        return mode == ResponseMode.FORWARDED
+        return !replaceable()
                 ? new AttemptOutcome.BrokenOff(reason, disconnected)
                 : new AttemptOutcome.Lost(reason, disconnected);
     }
 
+    /** Returns whether another upstream can still provide the response, or the rest of it. */
+    boolean replaceable() {
+        return mode != ResponseMode.FORWARDED && exchange.forwarded().resumable();
+    }
+
     private void end() {
         ended = true;
         upstream.onAttemptEnded();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedResponse.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedResponse.java
@@ -8,6 +8,7 @@
     private boolean headSent;
     private String seal = "";
     private long lastEventId = StreamEvent.NO_ID;
+    private boolean eventWithoutId;
     private long events;
     private long bytes;
     private String completion = "";
@@ -27,6 +28,8 @@
         bytes += event.bytes().length;
         if (event.id() != StreamEvent.NO_ID) {
             lastEventId = event.id();
+        } else if (!event.comment()) {
+            eventWithoutId = true;
         }
     }
 
@@ -57,6 +60,14 @@
         return lastEventId;
     }
 
+    /**
+     * Returns whether another upstream can continue the stream. It would repeat events without an id, which can't be
+     * told from new ones.
+     */
+    boolean resumable() {
+        return !eventWithoutId;
+    }
+
     long events() {
         return events;
     }
