Forget old requests of the retry budget while nothing is retried

WindowedRetryBudget dropped old request times only when a retry was tried, so its memory grew with each request while nothing failed (seen in the source by the review). onRequest drops them too. WindowedRetryBudgetTest checks what is remembered after 100,000 requests; the code before has no way to ask for it, so the test was not run against it.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/WindowedRetryBudget.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/WindowedRetryBudget.java
@@ -49,6 +49,7 @@
      * @param nowMs current time, in milliseconds
      */
     public void onRequest(long nowMs) {
+        trim(requestTimesMs, nowMs);
         requestTimesMs.addLast(nowMs);
     }
 
@@ -68,6 +69,11 @@
         return true;
     }
 
+    /** Returns the number of requests that are remembered. */
+    int rememberedRequests() {
+        return requestTimesMs.size();
+    }
+
     private void trim(Deque<Long> times, long nowMs) {
         while (!times.isEmpty() && times.getFirst() <= nowMs - limits.windowMs) {
             times.removeFirst();
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/WindowedRetryBudgetTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/WindowedRetryBudgetTest.java
@@ -8,6 +8,17 @@
 /** Guards against more retries in any window than the gateway's share of the budget. */
 class WindowedRetryBudgetTest {
 
+    /** Guards against memory that grows with each request until the first retry. */
+    @Test
+    void forgetsOldRequestsWhileNothingIsRetried() {
+        WindowedRetryBudget budget = new WindowedRetryBudget(new WindowedRetryBudget.Limits(0.2, 1_000, 3));
+        for (int nowMs = 0; nowMs < 100_000; nowMs++) {
+            budget.onRequest(nowMs);
+        }
+
+        assertThat(budget.rememberedRequests()).isEqualTo(1_000);
+    }
+
     @Test
     void staysWithinLimitsInEveryWindow() {
         Random random = new Random(5);
