Serve others while a retry waits for its only untried upstream

What callers saw: lookups waited although an upstream had room, because a request that had been tried there was first in the queue and the other upstream was full. Cause: dispatch stopped at the first request that no upstream could take. Change: a request that has been sent before is passed over, since others may go to the upstreams that it has tried; it keeps its place in the order.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -144,6 +144,11 @@
         return triedUpstreams.contains(upstreamId);
     }
 
+    /** Returns whether the request has been sent to any upstream, which it is not sent to again. */
+    boolean tried() {
+        return !triedUpstreams.isEmpty();
+    }
+
     void onSend(String upstreamId, long nowMs) {
         sends++;
         triedUpstreams.add(upstreamId);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -214,6 +214,7 @@
             return;
         }
         dispatching = true;
+        List<Exchange> passedOver = new ArrayList<>();
         try {
             long nowMs = nowMs();
             while (queue.size() > 0) {
@@ -227,12 +228,17 @@
                 }
                 OptionalInt index = selector.select(upstreams.list(), exchange, engine, nowMs);
                 if (index.isEmpty()) {
-                    queue.add(exchange);
+                    passedOver.add(exchange);
+                    if (exchange.tried()) {
+                        // Others may be sent to the upstreams that this request has tried.
+                        continue;
+                    }
                     return;
                 }
                 send(exchange, upstreams.list().get(index.getAsInt()), nowMs);
             }
         } finally {
+            passedOver.forEach(queue::add);
             dispatching = false;
             gateway.upstreamLimits().report(nowMs());
         }
