Reject withdrawn keys if the list of workspaces has become empty

Cause: an empty list was read as no list. Change: KeyRequirement. With an empty list a request that carries a key needs a known one, and there is none; requests without a key are served, since they belong to nobody and a deployment without workspaces may say it in this way.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
@@ -73,14 +73,14 @@
         }
         GatewayRoute route = matched.get();
         KeyOwner owner = null;
-        if (configuration.get().requiresKeys() && !route.anonymous()) {
+        String key = headers.get(names.key());
+        if (!route.anonymous() && configuration.get().keyRequirement().appliesTo(key != null)) {
             if (!storeView.acceptsKeys()) {
                 return new Refused(
                         ErrorKind.CONFIGURATION_STALE,
                         "API keys can't be checked because the configuration is too old",
                         RetryAfter.OTHER_GATEWAY_MS);
             }
-            String key = headers.get(names.key());
             owner = key == null ? null : configuration.get().keyOwners().get(key.strip());
             if (owner == null) {
                 return deny(reliable, ErrorKind.UNAUTHENTICATED, "the API key is missing or unknown");
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -25,6 +25,7 @@
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.GatewayRoute;
 import org.kingcuproad.policy.gateway.KeyOwner;
+import org.kingcuproad.policy.gateway.KeyRequirement;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.ServiceConfiguration;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -192,7 +193,7 @@
                         route(RouteKind.STREAMING, 2)),
                 Map.of("desk", new ServiceConfiguration("desk", 10, engines, 0, Optional.empty(), 120)),
                 new ClientLimits(8_192, maxBodyBytes, headerTimeoutMs, 5_000),
-                true,
+                KeyRequirement.ALWAYS,
                 Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
         HttpServer store = startStore();
         List<StoreObject<UpstreamEntry>> upstreams = entries.stream()
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/GatewayConfiguration.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/GatewayConfiguration.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * The configuration of a gateway.
@@ -10,7 +13,7 @@
  * @param routes all routes
  * @param services configuration of each service, by name
  * @param limits limits on clients
- * @param requiresKeys whether requests on non-anonymous routes need an API key
+ * @param keyRequirement which requests on non-anonymous routes need a known API key
  * @param keyOwners the owning workspace of each API key
  */
 public record GatewayConfiguration(
@@ -18,5 +21,19 @@
         List<GatewayRoute> routes,
         Map<String, ServiceConfiguration> services,
         ClientLimits limits,
-        boolean requiresKeys,
-        Map<String, KeyOwner> keyOwners) {}
+        KeyRequirement keyRequirement,
+        Map<String, KeyOwner> keyOwners) {
+
+    /**
+     * Returns the services that the configuration names, with settings or as the destination of a route.
+     *
+     * @return the names
+     */
+    public Set<String> serviceNames() {
+        return Stream.concat(
+                        services.keySet().stream(),
+                        routes.stream()
+                                .flatMap(route -> route.services().stream().map(WeightedService::service)))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+}
