Don't let an unusable entry hide the upstream whose address it states

What callers saw: 503 while an upstream ran, if another writer's entry stated its address, a service that isn't configured, or a start far in the future. Cause: of the entries with one address the one that started last is kept, whatever else it says. Change: entries of services that the configuration doesn't name, and entries that start more than a minute in the future, are left out before that.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
@@ -48,7 +48,8 @@
     }
 
     List<UpstreamEntry> upstreams() {
-        return directory.entries();
+        return directory.entries(
+                configuration().map(GatewayConfiguration::serviceNames).orElse(Set.of()), clock.wallMs());
     }
 
     ClientLimits limits() {
@@ -191,6 +192,6 @@
     }
 
     private void logUpstreams(String event) {
-        log.event(event).field("count", directory.entries().size()).write();
+        log.event(event).field("count", upstreams().size()).write();
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
@@ -29,6 +29,9 @@
      */
     public static final long STORE_OUTAGE_MS = 2_000;
 
+    /** Maximum difference between the times of day of two VMs; clocks may jump by seconds. */
+    private static final long MAX_CLOCK_DIFFERENCE_MS = 60_000;
+
     private final Map<String, UpstreamEntry> entries = new HashMap<>();
     private final Map<String, Long> removalTimesMs = new HashMap<>();
     private long lastContactMs = Long.MIN_VALUE / 2;
@@ -115,11 +118,18 @@
      * started upstream can be: after a power loss the entries of the previous upstreams stay in the store for some
      * seconds.
      *
+     * <p>Entries of other writers must not hide a running upstream, so one that names an unknown service or a start
+     * that is yet to come is left out.
+     *
+     * @param services names of the configured services, or empty if none are known yet
+     * @param nowWallMs current time of day, in Unix milliseconds
      * @return a copy of the entries
      */
-    public List<UpstreamEntry> entries() {
+    public List<UpstreamEntry> entries(Set<String> services, long nowWallMs) {
         Map<String, UpstreamEntry> byAddress = new HashMap<>();
-        entries.values()
+        entries.values().stream()
+                .filter(entry -> services.isEmpty() || services.contains(entry.service()))
+                .filter(entry -> entry.startedMs() <= nowWallMs + MAX_CLOCK_DIFFERENCE_MS)
                 .forEach(entry -> byAddress.merge(
                         entry.host() + ":" + entry.port(),
                         entry,
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -11,6 +12,8 @@
  */
 class UpstreamDirectoryTest {
 
+    private static final long NOW_WALL_MS = 1_800_000_000_000L;
+    private static final long FOREVER_MS = Long.MAX_VALUE / 2;
     private static final UpstreamEntry FIRST = new UpstreamEntry("1", "s", "h", 1, "dc", 1, false, 0);
     private static final UpstreamEntry SECOND = new UpstreamEntry("2", "s", "h", 2, "dc", 1, false, 0);
 
@@ -28,7 +31,7 @@
 
         directory.onEntry(newer);
 
-        assertThat(directory.entries()).containsExactlyInAnyOrder(newer, SECOND);
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactlyInAnyOrder(newer, SECOND);
     }
 
     @Test
@@ -38,7 +41,7 @@
 
         directory.onRemoved("1", 1_000);
 
-        assertThat(directory.entries()).containsExactly(SECOND);
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactly(SECOND);
     }
 
     @Test
@@ -46,7 +49,7 @@
         UpstreamDirectory directory = directoryWithTwoEntries();
         directory.onStoreContact(10_000);
         directory.onListing(List.of(), 10_000);
-        assertThat(directory.entries()).containsExactlyInAnyOrder(FIRST, SECOND);
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactlyInAnyOrder(FIRST, SECOND);
 
         directory.onEntry(SECOND);
         assertThat(directory.removeExpired(10_000 + UpstreamDirectory.RECOVERY_GRACE_MS - 1))
@@ -54,6 +57,16 @@
 
         assertThat(directory.removeExpired(10_000 + UpstreamDirectory.RECOVERY_GRACE_MS))
                 .containsExactly("1");
-        assertThat(directory.entries()).containsExactly(SECOND);
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactly(SECOND);
+    }
+
+    /** Guards against an entry of another writer that hides the upstream whose address it states. */
+    @Test
+    void keepsAnUpstreamWhoseAddressAnUnusableEntryStates() {
+        UpstreamDirectory directory = directoryWithTwoEntries();
+        directory.onEntry(new UpstreamEntry("3", "unknown", "h", 1, "dc", 1, false, 7));
+        directory.onEntry(new UpstreamEntry("4", "s", "h", 2, "dc", 1, false, FOREVER_MS));
+
+        assertThat(directory.entries(Set.of("s"), NOW_WALL_MS)).containsExactlyInAnyOrder(FIRST, SECOND);
     }
 }
