Tell a silent connection to the store from an outage of the store

Cause: a silent watch is replaced after 2.0 s, and a gap of more than 2.0 s was taken for an outage, after which missing entries are kept for 2.2 s. Evidence: UpstreamDirectoryTest failed with the former threshold (1 of 1). Change: the threshold is 2.6 s, above the time in which a silent connection is replaced and the upstreams are listed, and below three heartbeats.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
@@ -25,9 +25,10 @@
 
     /**
      * Time without contact to the store after which entries may have expired; shorter than three of the shortest
-     * heartbeat intervals.
+     * heartbeat intervals. It is longer than the time after which a silent connection to the store is replaced, since
+     * entries that are removed meanwhile have been removed for good.
      */
-    public static final long STORE_OUTAGE_MS = 2_000;
+    public static final long STORE_OUTAGE_MS = 2_600;
 
     /** Maximum difference between the times of day of two VMs; clocks may jump by seconds. */
     private static final long MAX_CLOCK_DIFFERENCE_MS = 60_000;
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
@@ -13,6 +13,9 @@
 class UpstreamDirectoryTest {
 
     private static final long NOW_WALL_MS = 1_800_000_000_000L;
+    /** Longest watch, the time after it until a connection counts as silent, and a new listing. */
+    private static final long SILENT_CONNECTION_MS = 2_100;
+
     private static final long FOREVER_MS = Long.MAX_VALUE / 2;
     private static final UpstreamEntry FIRST = new UpstreamEntry("1", "s", "h", 1, "dc", 1, false, 0);
     private static final UpstreamEntry SECOND = new UpstreamEntry("2", "s", "h", 2, "dc", 1, false, 0);
@@ -69,4 +72,15 @@
 
         assertThat(directory.entries(Set.of("s"), NOW_WALL_MS)).containsExactlyInAnyOrder(FIRST, SECOND);
     }
+
+    /** Guards against requests to an upstream that left while the connections to the store were silent. */
+    @Test
+    void removesAMissingUpstreamAtOnceAfterASilentConnectionWasReplaced() {
+        UpstreamDirectory directory = directoryWithTwoEntries();
+        directory.onStoreContact(SILENT_CONNECTION_MS);
+
+        directory.onListing(List.of(SECOND), SILENT_CONNECTION_MS);
+
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactly(SECOND);
+    }
 }
