Send the last response of a slow reader before the linger time

Callers that read slowly could lose the end of a complete response on a connection that is closed after it, which is every connection of a draining gateway.

Cause: the linger time of 1 s started when the response was queued, so that a connection whose socket accepted no bytes meanwhile was closed with unsent bytes.

The linger time now starts when the response is sent. A client that never reads is disconnected after the idle timeout, as on connections that are kept.

Evidence: ClientConnectionTest#waitsUntilTheResponseIsSentBeforeItLingers failed before (the channel was closed 1.5 s after the response was queued, with nothing sent) and passes now. A test with loopback sockets did not show the fault: 96 responses of 0.04 to 5.8 MB to clients that read after 2.5 s were whole before the change, because the kernel takes some megabytes there.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -47,6 +47,8 @@
      */
     private static final long NEXT_REQUEST_MS = 100;
 
+    private static final long NOT_SENT = -1;
+
     /** Time in which the first request of a new connection is expected; clients connect because they have one. */
     private static final long FIRST_REQUEST_MS = 1_000;
 
@@ -62,6 +64,7 @@
     private boolean keepAlive = true;
     private boolean closing;
     private long closingSinceMs;
+    private long lastSentMs = NOT_SENT;
     private long receivingSinceMs = -1;
     private final long openedMs;
     private long lastActivityMs;
@@ -267,6 +270,7 @@
             closingSinceMs = lastActivityMs;
             releasePipelined();
             written.addListener((ChannelFutureListener) future -> {
+                lastSentMs = gateway.clock().steadyMs();
                 // Closing at once would reset the connection if the client is still sending, and the response would be
                 // lost.
                 if (future.channel() instanceof DuplexChannel duplex && future.isSuccess()) {
@@ -290,7 +294,10 @@
      */
     void sweep(long nowMs) {
         if (closing) {
-            if (nowMs - closingSinceMs > LINGER_MS) {
+            boolean closed = lastSentMs == NOT_SENT
+                    ? nowMs - closingSinceMs > limits.idleTimeoutMs()
+                    : nowMs - lastSentMs > LINGER_MS;
+            if (closed) {
                 channel.close();
             }
         } else if (!requestInProgress) {
