Accept clients that connect while the listening socket is closed

Direct clients of a gateway that stopped were reset in 2 of 5 stops when the listening socket was closed: their connections were new and their requests sent; nothing had run.

Cause: the accept queue was emptied once. The accepted connections were then registered, and the socket was closed after that; clients that connected meanwhile waited in the queue of the closed socket.

The queue is now emptied again until it is empty, and the socket is closed directly after the accept that returns nothing. What remains is the time between two system calls.

Evidence: GatewayShutdownTest#acceptsClientsThatConnectWhileTheQueueIsEmptied failed before (2 of 3 clients accepted) and passes now.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
@@ -96,8 +96,7 @@
 
     private void acceptQueuedAndClose() {
         if (bound.channel() instanceof QueueDrainingServerChannel channel && channel.isOpen()) {
-            channel.acceptQueued();
-            channel.close();
+            channel.acceptQueuedAndClose();
         }
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QueueDrainingServerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QueueDrainingServerChannel.java
@@ -4,20 +4,24 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Listening socket whose accept queue can be emptied before it is closed. */
+/** Listening socket that can be closed after all connections in its accept queue have been accepted. */
 final class QueueDrainingServerChannel extends NioServerSocketChannel {
 
-    /** Accepts all connections that wait in the accept queue. Must be called on the event loop. */
-    void acceptQueued() {
+    /**
+     * Accepts connections until none waits in the accept queue, and then closes the socket. Connections that arrive
+     * while others are handled are accepted too, since closing the socket would reset them. Must be called on the event
+     * loop.
+     */
+    void acceptQueuedAndClose() {
         List<Object> accepted = new ArrayList<>();
         try {
             while (doReadMessages(accepted) > 0) {
-                // Accepts one connection a call.
+                accepted.forEach(pipeline()::fireChannelRead);
+                accepted.clear();
             }
         } catch (Exception failure) {
             pipeline().fireExceptionCaught(failure);
         }
-        accepted.forEach(pipeline()::fireChannelRead);
-        pipeline().fireChannelReadComplete();
+        close();
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -7,11 +7,13 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.io.PushbackInputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -336,6 +338,51 @@
         }
     }
 
+    /** Guards against resetting clients that connect while the last accepted ones are being registered. */
+    @Test
+    void acceptsClientsThatConnectWhileTheQueueIsEmptied() throws Exception {
+        NioEventLoopGroup loops = new NioEventLoopGroup(1);
+        List<Socket> sockets = new CopyOnWriteArrayList<>();
+        try {
+            AtomicInteger accepted = new AtomicInteger();
+            EventLoop loop = loops.next();
+            ClientListener listener = loop.submit(() -> ClientListener.open(
+                            loop, fixture.address(), () -> ClientLimits.DEFAULTS, (channel, limits) -> {
+                                if (accepted.incrementAndGet() < QUEUED_CLIENTS) {
+                                    sockets.add(openUnchecked());
+                                }
+                                throw new IllegalStateException("the test needs no handler");
+                            }))
+                    .get();
+            listener.bound().sync();
+            CountDownLatch connected = new CountDownLatch(1);
+            loop.execute(() -> awaitLatch(connected));
+            loop.execute(listener::stop);
+            sockets.add(fixture.open());
+            connected.countDown();
+            long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+            while (!listener.stopped() && System.nanoTime() < endNs) {
+                sleep(5);
+            }
+
+            assertThat(listener.stopped()).isTrue();
+            assertThat(accepted.get()).as("accepted clients").isEqualTo(sockets.size());
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+            loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
+    private Socket openUnchecked() {
+        try {
+            return fixture.open();
+        } catch (IOException refused) {
+            throw new UncheckedIOException(refused);
+        }
+    }
+
     private static void awaitLatch(CountDownLatch latch) {
         try {
             latch.await(5, TimeUnit.SECONDS);
