Count the grace period of a stop from the signal

A process whose event loop is busy when SIGTERM arrives would be killed with requests in progress.

Cause: the stop was timed from when the event loop handled the signal, while the forced end is scheduled by the platform from the signal on.

The signal handler now takes the time.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -211,7 +211,8 @@
 
     /** Starts a graceful shutdown: reports not ready, finishes open requests and stops within the grace period. */
     public void drain() {
-        eventLoop.execute(() -> shutdown.start(connections.size(), clock.steadyMs()));
+        long nowMs = clock.steadyMs();
+        eventLoop.execute(() -> shutdown.start(connections.size(), nowMs));
     }
 
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -200,6 +200,30 @@
         }
     }
 
+    /** Guards against counting the grace period from the time at which a busy event loop handles the signal. */
+    @Test
+    void stopsWithinTheGracePeriodThoughTheEventLoopIsBusyAtTheSignal() throws Exception {
+        fixture.setTimeoutMs(5_000);
+        fixture.upstream(request -> {
+            sleep(5_000);
+            return GatewayFixture.ok(request, "late");
+        });
+        Gateway gateway = fixture.start();
+        try (Socket socket = fixture.open()) {
+            socket.getOutputStream()
+                    .write(GatewayFixture.keptAlivePostRequest("/NON_IDEMPOTENT/a", "r1")
+                            .getBytes(StandardCharsets.UTF_8));
+            sleep(100);
+            gateway.execute(() -> sleep(1_000));
+            long startNs = System.nanoTime();
+            gateway.drain();
+            gateway.stopped().get(10, TimeUnit.SECONDS);
+
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNs))
+                    .isLessThan(2_000);
+        }
+    }
+
     /** Guards against closing a connection without an answer because the upstream is still at work. */
     @Test
     void answersAnOrderThatIsInProgressWhenTheServiceEnds() throws Exception {
