Probe again for responses that end during a probe

A response without length or chunks that was cut off by a crash could be passed on as complete, if another response of the same upstream had ended shortly before: both were judged by one probe, and the upstream may accept a probe and crash thereafter.

It drives the detector by hand; the race was not seen over sockets.

What ends while a probe is in progress now waits for the next probe. A refused probe still proves the crash for all of them.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -19,7 +19,7 @@
 
     private final BiConsumer<Upstream, Consumer<ProbeResult>> probe;
     private final Listener listener;
-    private final Map<Upstream, Suspicion> suspicions = new HashMap<>();
+    private final Map<Upstream, Probe> probes = new HashMap<>();
 
     /** Receives what the detector finds out. */
     interface Listener {
@@ -37,7 +37,22 @@
     private record Ended(List<String> promptParts, Consumer<ProbeResult> onProbed) {}
 
     /** Requests at an upstream that may have crashed: those that were cut off and those that may be complete. */
-    private record Suspicion(List<List<String>> lost, List<Ended> ended) {}
+    private record Suspicion(List<List<String>> lost, List<Ended> ended) {
+
+        private Suspicion() {
+            this(new ArrayList<>(), new ArrayList<>());
+        }
+
+        private boolean isEmpty() {
+            return lost.isEmpty() && ended.isEmpty();
+        }
+    }
+
+    /**
+     * A probe in progress. The upstream may accept it and crash thereafter, so it proves nothing for what ended
+     * meanwhile.
+     */
+    private record Probe(Suspicion before, Suspicion meanwhile) {}
 
     UpstreamCrashDetector(BiConsumer<Upstream, Consumer<ProbeResult>> probe, Listener listener) {
         this.probe = probe;
@@ -68,31 +83,39 @@
     }
 
     private Suspicion suspect(Upstream upstream) {
-        Suspicion known = suspicions.get(upstream);
+        Probe known = probes.get(upstream);
         if (known != null) {
-            return known;
+            return known.meanwhile;
         }
-        Suspicion created = new Suspicion(new ArrayList<>(), new ArrayList<>());
-        suspicions.put(upstream, created);
-        probe.accept(upstream, result -> onProbed(upstream, result));
+        Suspicion created = new Suspicion();
+        probe(upstream, created);
         return created;
     }
 
+    private void probe(Upstream upstream, Suspicion suspicion) {
+        probes.put(upstream, new Probe(suspicion, new Suspicion()));
+        probe.accept(upstream, result -> onProbed(upstream, result));
+    }
+
     private void onProbed(Upstream upstream, ProbeResult result) {
-        Suspicion suspicion = suspicions.remove(upstream);
-        if (suspicion == null) {
+        Probe probed = probes.remove(upstream);
+        if (probed == null) {
             return;
         }
         if (result == ProbeResult.REFUSED) {
             upstream.setCrashed();
-            List<List<String>> prompts = Stream.concat(
-                            suspicion.lost.stream(), suspicion.ended.stream().map(Ended::promptParts))
+            List<List<String>> prompts = Stream.of(probed.before, probed.meanwhile)
+                    .flatMap(suspicion -> Stream.concat(
+                            suspicion.lost.stream(), suspicion.ended.stream().map(Ended::promptParts)))
                     .filter(promptParts -> !promptParts.isEmpty())
                     .toList();
             if (!prompts.isEmpty()) {
                 listener.onCrash(upstream, prompts);
             }
+            probed.meanwhile.ended.forEach(ended -> ended.onProbed.accept(result));
+        } else if (!probed.meanwhile.isEmpty()) {
+            probe(upstream, probed.meanwhile);
         }
-        suspicion.ended.forEach(ended -> ended.onProbed.accept(result));
+        probed.before.ended.forEach(ended -> ended.onProbed.accept(result));
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -70,6 +70,22 @@
         assertThat(probes).hasSize(1);
     }
 
+    /** Guards against judging a response by a probe that the upstream accepted before it crashed. */
+    @Test
+    void probesAgainForWhatEndedDuringAProbe() {
+        detector.onEndedWithConnection(upstream, List.of("a"), ended::add);
+        detector.onEndedWithConnection(upstream, List.of("b"), ended::add);
+        detector.onDisconnected(upstream, List.of("c"));
+
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        assertThat(ended).containsExactly(ProbeResult.LISTENING);
+        assertThat(probes).hasSize(2);
+        probes.get(1).accept(ProbeResult.REFUSED);
+
+        assertThat(ended).containsExactly(ProbeResult.LISTENING, ProbeResult.REFUSED);
+        assertThat(crashes).containsExactly(List.of(List.of("c"), List.of("b")));
+    }
+
     @Test
     void takesOnlyARefusedConnectionForACrash() {
         assertThat(ProbeResult.of(null)).isEqualTo(ProbeResult.LISTENING);
