Let a stand-in that crashes stop listening first

Java closes a listening socket only when the thread that waits for its next connection has returned: of 3,000 connections that were opened directly after close(), 2,330 were accepted; none of 3,000 after that thread had ended. The stand-in closed the connection meanwhile, so that a probe could find a crashed upstream listening, and the tests of ConnectionEndTest could fail. It now waits for the thread.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamingUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/StreamingUpstream.java
@@ -40,8 +40,10 @@
         }
 
         /** Closes the connection and the listening socket, as the end of the process does. */
-        void crash() throws IOException {
+        void crash() throws IOException, InterruptedException {
             socket.close();
+            // A socket listens until the call that waits for its next connection has returned.
+            acceptor.join();
             connection.close();
             throw new EOFException("crash");
         }
@@ -67,6 +69,7 @@
     }
 
     private final ServerSocket socket;
+    private final Thread acceptor;
     private final Script script;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final AtomicLong writtenBytes = new AtomicLong();
@@ -75,7 +78,7 @@
     StreamingUpstream(Script script) throws IOException {
         this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         this.script = script;
-        start(this::acceptAll);
+        this.acceptor = start(this::acceptAll);
     }
 
     int port() {
@@ -95,10 +98,11 @@
         return disconnected;
     }
 
-    private static void start(Runnable work) {
+    private static Thread start(Runnable work) {
         Thread thread = new Thread(work, "streaming-upstream");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     private void acceptAll() {
