End a stop within the grace period that held at its start

Callers lost requests in a planned stop: orders and streams that came late in the grace period were passed on, and the process was killed before it had answered them. Orders got a closed connection, and no log line named them.

Cause: a gateway that stops read the grace period from its current settings. When they were changed to a longer one after SIGTERM, the gateway admitted requests and planned its end by the new value, but the platform had already scheduled the SIGKILL by the old one.

The grace period is now that of the signal. A shorter one from later settings still applies.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
@@ -38,7 +38,7 @@
     /** Starts the shutdown, unless it has started before. */
     void start(int connections, long nowMs) {
         if (!sequence.started()) {
-            sequence.start(nowMs);
+            sequence.start(graceMs.getAsLong(), nowMs);
             log.event("gateway draining").field("connections", connections).write();
         }
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
@@ -21,9 +21,16 @@
     private static final long NOT_STARTED = -1;
 
     private long startedMs = NOT_STARTED;
+    private long startGraceMs;
 
-    void start(long nowMs) {
+    /**
+     * Starts the shutdown.
+     *
+     * @param graceMs time until the forced end of the process, in milliseconds
+     */
+    void start(long graceMs, long nowMs) {
         startedMs = nowMs;
+        startGraceMs = graceMs;
     }
 
     boolean started() {
@@ -40,9 +47,10 @@
     }
 
     /**
-     * Returns the time until the requests that are still in progress are ended.
+     * Returns the time until the requests that are still in progress are ended. A grace period that is extended after
+     * the start does not count, because the forced end is already scheduled.
      *
-     * @param graceMs time from the start of the shutdown to the forced end of the process, in milliseconds
+     * @param graceMs grace period according to the current settings, in milliseconds
      * @return the time in milliseconds, 0 or less if it has passed
      */
     long untilServiceEndMs(long graceMs, long nowMs) {
@@ -65,7 +73,7 @@
         return connections == 0 || untilServiceEndMs(graceMs, nowMs) < -LAST_RESPONSES_MS;
     }
 
-    private static long serviceEndMs(long graceMs) {
-        return graceMs - SHUTDOWN_RESERVE_MS;
+    private long serviceEndMs(long graceMs) {
+        return Math.min(startGraceMs, graceMs) - SHUTDOWN_RESERVE_MS;
     }
 }
