Listen until the end of a stop's service

Callers that connect to a gateway late in its grace period were refused, or reset while the listening socket was closed 4 s after SIGTERM. This answers the load of a data centre with fewer than half of its gateways in rotation: the load balancer then goes on sending clients to a gateway that stops, and direct clients do so anyway. A refused or reset connection tells a caller nothing; a response serves it, or says that the request has not run and can be sent to another gateway at once.

The gateway now listens until its service ends, serves what can end before that and rejects the rest with 503 and Retry-After 0. It still ends early when no client is connected after the balancer has removed it, and now only if none has been connected for 500 ms, so that clients that follow each other don't meet a closed socket.

Evidence: GatewayShutdownTest#answersRequestsOnConnectionsThatAreOpenedLateInTheGracePeriod failed before with a refused connection and passes now.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -8,11 +8,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -87,9 +85,8 @@
     private final QuarantineStore quarantineStore;
     private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
-    private final Set<ClientConnection> connections = new HashSet<>();
+    private final ClientConnections connections = new ClientConnections();
     private @Nullable ClientListener listener;
-    private long acceptedConnections;
     private long lastSweepSteadyMs;
     private long lastSweepWallMs;
     private final GracefulShutdown shutdown;
@@ -217,14 +214,13 @@
 
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
         ClientConnection connection = new ClientConnection(this, channel, limits);
-        connections.add(connection);
-        acceptedConnections++;
+        connections.add(connection, clock.steadyMs());
         return connection;
     }
 
     /** Returns the number of client connections accepted since the start. */
     long acceptedConnections() {
-        return acceptedConnections;
+        return connections.accepted();
     }
 
     /** Opens a connection to an upstream for an attempt. */
@@ -446,7 +442,7 @@
     }
 
     void onConnectionClosed(ClientConnection connection) {
-        connections.remove(connection);
+        connections.remove(connection, clock.steadyMs());
     }
 
     void onClientFailure(Throwable cause) {
@@ -471,7 +467,7 @@
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
         upstreamLimits.report(nowMs);
-        List.copyOf(connections).forEach(connection -> connection.sweep(nowMs));
+        connections.list().forEach(connection -> connection.sweep(nowMs));
         boolean ready = ready();
         if (ready != lastReady) {
             lastReady = ready;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
@@ -1,7 +1,5 @@
 package org.kingcuproad.gateway;
 
-import java.util.Collection;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
@@ -68,7 +66,7 @@
      */
     void sweep(
             @Nullable ClientListener listener,
-            Collection<ClientConnection> connections,
+            ClientConnections connections,
             Runnable endRequests,
             Runnable onEnd,
             long nowMs) {
@@ -76,9 +74,11 @@
             return;
         }
         if (sequence.removedFromBalancer(nowMs)) {
-            List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
+            connections.list().forEach(connection -> connection.closeIfIdle(nowMs));
         }
-        if (listener != null && sequence.stopsListening(connections.size(), graceMs.getAsLong(), nowMs)) {
+        if (listener != null
+                && sequence.stopsListening(
+                        connections.size(), connections.lastChangeMs(), graceMs.getAsLong(), nowMs)) {
             listener.stop();
         }
         if (sequence.untilServiceEndMs(graceMs.getAsLong(), nowMs) < 0) {
@@ -86,7 +86,7 @@
         }
         boolean listening = listener != null && !listener.stopped();
         if (!listening && sequence.isComplete(connections.size(), graceMs.getAsLong(), nowMs)) {
-            List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMs));
+            connections.list().forEach(connection -> connection.closeIfIdle(nowMs));
             log.event("gateway stopped")
                     .field("connections", connections.size())
                     .field("afterMs", sequence.durationMs(nowMs))
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ShutdownSequence.java
@@ -6,8 +6,8 @@
     /** The load balancer checks readiness every second and removes a gateway after two failed checks. */
     private static final long BALANCER_REMOVAL_MS = 2_300;
 
-    /** Maximum time after the start of draining for which new connections are accepted. */
-    private static final long MAX_DRAIN_ACCEPT_MS = 4_000;
+    /** Time without a client after which none is expected any more. */
+    private static final long UNUSED_MS = 500;
 
     /** Time reserved between the end of the service and the end of the grace period. */
     private static final long SHUTDOWN_RESERVE_MS = 600;
@@ -15,9 +15,6 @@
     /** Time in which the last responses reach their clients before the process exits. */
     private static final long LAST_RESPONSES_MS = 200;
 
-    /** Time in which the requests of the last accepted connections are served. */
-    private static final long LAST_REQUESTS_MS = 1_000;
-
     private static final long NOT_STARTED = -1;
 
     private long startedMs = NOT_STARTED;
@@ -60,12 +57,18 @@
     /**
      * Returns whether no more connections are accepted.
      *
+     * <p>This answers the load of a data centre with few gateways in rotation: its load balancer may send clients to a
+     * gateway for as long as it runs. A connection that is refused, or reset because the socket is closed meanwhile,
+     * tells its client nothing; a response does. The socket is therefore closed only when no client is expected or no
+     * request can be served any more.
+     *
      * @param connections open client connections
-     * @param graceMs time from the start of the shutdown to the forced end of the process, in milliseconds
+     * @param lastClientMs time at which a client connection was last opened or closed, in milliseconds
+     * @param graceMs grace period according to the current settings, in milliseconds
      */
-    boolean stopsListening(int connections, long graceMs, long nowMs) {
-        boolean unused = removedFromBalancer(nowMs) && connections == 0;
-        return unused || durationMs(nowMs) > Math.min(MAX_DRAIN_ACCEPT_MS, serviceEndMs(graceMs) - LAST_REQUESTS_MS);
+    boolean stopsListening(int connections, long lastClientMs, long graceMs, long nowMs) {
+        boolean unused = removedFromBalancer(nowMs) && connections == 0 && nowMs - lastClientMs > UNUSED_MS;
+        return unused || untilServiceEndMs(graceMs, nowMs) < 0;
     }
 
     /** Returns whether a gateway that does not listen any more may end. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -200,6 +200,35 @@
         }
     }
 
+    /** Guards against refusing or resetting connections while requests on them can still be answered. */
+    @Test
+    void answersRequestsOnConnectionsThatAreOpenedLateInTheGracePeriod() throws Exception {
+        fixture.setDrainGraceMs(7_000);
+        fixture.setTimeoutMs(6_900);
+        fixture.upstream(request -> {
+            if (request.contains("/NON_IDEMPOTENT/")) {
+                sleep(6_000);
+            }
+            return GatewayFixture.ok(request, "stock");
+        });
+        Gateway gateway = fixture.start();
+        try (Socket busy = fixture.open()) {
+            busy.getOutputStream()
+                    .write(GatewayFixture.keptAlivePostRequest("/NON_IDEMPOTENT/a", "r1")
+                            .getBytes(StandardCharsets.UTF_8));
+            sleep(100);
+            gateway.drain();
+            sleep(4_200);
+            RawResponse served = fixture.get("/IDEMPOTENT/a", "k1", "r2");
+            sleep(600);
+            RawResponse rejected = fixture.get("/IDEMPOTENT/a", "k1", "r3");
+
+            assertThat(served.body()).isEqualTo("stock");
+            assertThat(rejected.status()).isEqualTo(SERVICE_UNAVAILABLE);
+            assertThat(rejected.header("Retry-After")).hasValue("0.000");
+        }
+    }
+
     /** Guards against counting the grace period from the time at which a busy event loop handles the signal. */
     @Test
     void stopsWithinTheGracePeriodThoughTheEventLoopIsBusyAtTheSignal() throws Exception {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShutdownSequenceTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShutdownSequenceTest.java
@@ -24,4 +24,28 @@
         assertThat(sequence.untilServiceEndMs(GRACE_MS / 2, START_MS + 1_000))
                 .isEqualTo(SERVICE_END_MS - GRACE_MS / 2 - 1_000);
     }
+
+    @Test
+    void listensWhileClientsAreConnected() {
+        assertThat(sequence.stopsListening(1, START_MS, GRACE_MS, START_MS + SERVICE_END_MS))
+                .isFalse();
+        assertThat(sequence.stopsListening(1, START_MS, GRACE_MS, START_MS + SERVICE_END_MS + 1))
+                .isTrue();
+    }
+
+    /** Guards against refusing clients that a load balancer sends because few gateways are in rotation. */
+    @Test
+    void listensBetweenClientsThatFollowEachOther() {
+        assertThat(sequence.stopsListening(0, START_MS + 4_900, GRACE_MS, START_MS + 5_000))
+                .isFalse();
+    }
+
+    @Test
+    void endsEarlyWithoutClientsOnceTheBalancerHasRemovedTheGateway() {
+        assertThat(sequence.stopsListening(0, START_MS, GRACE_MS, START_MS + 2_300))
+                .isFalse();
+        assertThat(sequence.stopsListening(0, START_MS, GRACE_MS, START_MS + 2_301))
+                .isTrue();
+        assertThat(sequence.isComplete(0, GRACE_MS, START_MS + 2_301)).isTrue();
+    }
 }
