--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -60,6 +60,8 @@
 
     private static final long STORE_DELAY_MS = 500;
 
+    private static final String STEADY = "STEADY";
+
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final List<UpstreamEntry> entries = new ArrayList<>();
     private final String host = ownLoopbackAddress();
@@ -74,6 +76,7 @@
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
+    private @Nullable ChangingDialect<UpstreamEntry> upstreamDialect;
 
     GatewayFixture() throws IOException {
         this.port = freePort();
@@ -137,6 +140,20 @@
         entries.add(new UpstreamEntry("u" + entries.size(), "desk", upstreamHost, upstreamPort, "dc", 4, false, 0));
     }
 
+    /** Registers an upstream of a second service, whose route is {@code /STEADY/}. */
+    void addSteadyEntry(int upstreamPort) {
+        entries.add(new UpstreamEntry(STEADY, STEADY, "127.0.0.1", upstreamPort, "dc", 4, false, 0));
+    }
+
+    /** Replaces a registered upstream by a new instance at another port while the gateway runs. */
+    void replaceEntry(String id, String newId, int newPort) {
+        UpstreamEntry replacement = new UpstreamEntry(newId, "desk", "127.0.0.1", newPort, "dc", 4, false, 0);
+        Objects.requireNonNull(upstreamDialect, "no gateway has been created")
+                .change(List.of(
+                        new StoreChange<>(new StoreObject<>(id, Optional.empty(), ""), true),
+                        new StoreChange<>(new StoreObject<>(newId, Optional.of(replacement), ""), false)));
+    }
+
     FakeUpstream upstream(Function<String, FakeUpstream.Reply> script) throws IOException {
         FakeUpstream upstream = new FakeUpstream(script);
         resources.add(upstream);
@@ -161,10 +178,14 @@
     }
 
     private GatewayRoute route(RouteKind kind, int attempts) {
+        return route(kind, attempts, kind.name(), "desk");
+    }
+
+    private GatewayRoute route(RouteKind kind, int attempts, String name, String service) {
         return new GatewayRoute(
-                kind.name(),
+                name,
                 "office.example",
-                "/" + kind.name() + "/",
+                "/" + name + "/",
                 kind,
                 timeoutMs,
                 100,
@@ -172,7 +193,7 @@
                 1,
                 false,
                 true,
-                List.of(new WeightedService("desk", 1)));
+                List.of(new WeightedService(service, 1)));
     }
 
     /** Creates and starts a gateway, and waits until it is ready. */
@@ -189,8 +210,13 @@
                 List.of(
                         route(RouteKind.IDEMPOTENT, 2),
                         route(RouteKind.NON_IDEMPOTENT, orderAttempts),
-                        route(RouteKind.STREAMING, 2)),
-                Map.of("desk", new ServiceConfiguration("desk", 10, engines, 0, Optional.empty(), 120)),
+                        route(RouteKind.STREAMING, 2),
+                        route(RouteKind.IDEMPOTENT, 1, STEADY, STEADY)),
+                Map.of(
+                        "desk",
+                        new ServiceConfiguration("desk", 10, engines, 0, Optional.empty(), 120),
+                        STEADY,
+                        new ServiceConfiguration(STEADY, 10, false, 0, Optional.empty(), 120)),
                 new ClientLimits(8_192, maxBodyBytes, headerTimeoutMs, 5_000),
                 true,
                 Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
@@ -212,11 +238,13 @@
                 0.2,
                 10_000,
                 100);
+        ChangingDialect<UpstreamEntry> changing = new ChangingDialect<>(upstreams);
+        upstreamDialect = changing;
         GatewayDialect dialect = new GatewayDialect(
                 NAMES,
                 new FakeDialect<>(
                         List.of(new StoreObject<>("main", Optional.of(configuration), "")), configurationTarget),
-                new FakeDialect<>(upstreams),
+                changing,
                 new FakeRegistry(),
                 new FakeQuarantines());
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
