--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -16,6 +16,8 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -74,6 +76,7 @@
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
+    private final Queue<StoreChange<UpstreamEntry>> upstreamChanges = new ConcurrentLinkedQueue<>();
 
     GatewayFixture() throws IOException {
         this.port = freePort();
@@ -144,6 +147,11 @@
         return upstream;
     }
 
+    /** Deletes an upstream's entry, of which the gateway learns with its next watch of the store. */
+    void removeEntry(String id) {
+        upstreamChanges.add(new StoreChange<>(new StoreObject<>(id, Optional.empty(), ""), true));
+    }
+
     /** Starts an upstream that writes its responses itself, for example without end. */
     StreamingUpstream streamingUpstream(StreamingUpstream.Script script) throws IOException {
         StreamingUpstream upstream = new StreamingUpstream(script);
@@ -216,7 +224,13 @@
                 NAMES,
                 new FakeDialect<>(
                         List.of(new StoreObject<>("main", Optional.of(configuration), "")), configurationTarget),
-                new FakeDialect<>(upstreams),
+                new FakeDialect<>(upstreams) {
+                    @Override
+                    public StoreChanges<UpstreamEntry> readChanges(byte[] body) {
+                        StoreChange<UpstreamEntry> change = upstreamChanges.poll();
+                        return new StoreChanges<>(change == null ? List.of() : List.of(change), 1);
+                    }
+                },
                 new FakeRegistry(),
                 new FakeQuarantines());
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
