Free the slot of a response whose client leaves while its end is confirmed

What callers saw: requests refused with 503 though the upstream was free. Cause: the attempt of an order is detached when its client leaves; the result of the probe was then ignored, so the attempt lasted until its deadline. Change: the result of the probe ends a detached attempt too.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -365,10 +365,12 @@
 
     /** Ends the attempt when it is known whether its upstream still listens after the connection has ended. */
     void onEndProbed(ProbeResult result) {
-        if (ended || detached) {
+        if (ended) {
             return;
         }
-        if (result == ProbeResult.REFUSED) {
+        if (detached) {
+            end();
+        } else if (result == ProbeResult.REFUSED) {
             onFailure("the connection ended and the upstream no longer listens");
         } else {
             endProven = result == ProbeResult.LISTENING;
