--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -162,6 +162,12 @@
         return upstream;
     }
 
+    /** Deletes an upstream's entry, of which the gateway learns with its next watch of the store. */
+    void removeEntry(String id) {
+        Objects.requireNonNull(upstreamDialect, "no gateway has been created")
+                .change(List.of(new StoreChange<>(new StoreObject<>(id, Optional.empty(), ""), true)));
+    }
+
     /** Starts an upstream that writes its responses itself, for example without end. */
     StreamingUpstream streamingUpstream(StreamingUpstream.Script script) throws IOException {
         StreamingUpstream upstream = new StreamingUpstream(script);
