--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -26,6 +26,12 @@
     // is closing.
     private static final Duration POOLED_CONNECTION_IDLE = Duration.ofSeconds(4);
 
+    /** Maximum size of a control response, which is buffered; an engine in trouble may send one without end. */
+    private static final long MAX_CONTROL_BODY_BYTES = 4 << 20;
+
+    /** Responses to callers are not limited in size; their buffer pauses reading. */
+    private static final long UNLIMITED_BYTES = Long.MAX_VALUE;
+
     private final AsyncHttpClient client;
     private final String baseUrl;
 
@@ -60,7 +66,7 @@
         if (!dispatch.getBody().isEmpty()) {
             request.setBody(dispatch.getBody().toByteArray());
         }
-        UpstreamHandler handler = new UpstreamHandler(listener);
+        UpstreamHandler handler = new UpstreamHandler(listener, UNLIMITED_BYTES);
         client.executeRequest(request.build(), handler);
         return handler;
     }
@@ -72,7 +78,7 @@
         if (body.length > 0) {
             request.setHeader(HttpHeaderNames.CONTENT_TYPE, "application/json").setBody(body);
         }
-        client.executeRequest(request.build(), new UpstreamHandler(listener));
+        client.executeRequest(request.build(), new UpstreamHandler(listener, MAX_CONTROL_BODY_BYTES));
     }
 
     void close() throws IOException {
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
@@ -20,6 +20,7 @@
     private static final long LENGTH_NOT_DECLARED = -1;
 
     private final UpstreamListener listener;
+    private final long maxBodyBytes;
     private @Nullable Channel channel;
     private int status;
     private long declaredLength = LENGTH_NOT_DECLARED;
@@ -27,8 +28,15 @@
     private boolean delimited = true;
     private boolean ended;
 
-    UpstreamHandler(UpstreamListener listener) {
+    /**
+     * Creates a handler of one response.
+     *
+     * @param listener receives the response
+     * @param maxBodyBytes size of the body from which the response fails
+     */
+    UpstreamHandler(UpstreamListener listener, long maxBodyBytes) {
         this.listener = listener;
+        this.maxBodyBytes = maxBodyBytes;
     }
 
     @Override
@@ -71,13 +79,16 @@
     }
 
     @Override
-    public State onBodyPartReceived(HttpResponseBodyPart part) {
+    public State onBodyPartReceived(HttpResponseBodyPart part) throws IOException {
         if (ended) {
             return State.ABORT;
         }
         byte[] data = part.getBodyPartBytes();
         if (data.length > 0) {
             receivedLength += data.length;
+            if (receivedLength > maxBodyBytes) {
+                throw new IOException("the response body exceeds " + maxBodyBytes + " bytes");
+            }
             listener.onBody(data);
         }
         return nextState();
