Limit the size of a store response in the platform client

A store that sends a response without end made the client keep all of it until the request timeout; other requests of the process end with it when its memory is used up.

Watches were already limited to a line.

--- a/kingcuproad-platform/src/main/java/org/kingcuproad/platform/HttpObjectStore.java
+++ b/kingcuproad-platform/src/main/java/org/kingcuproad/platform/HttpObjectStore.java
@@ -28,6 +28,9 @@
     private static final int SERVER_ERROR = 500;
     private static final Duration UNLIMITED = Duration.ofMillis(-1);
 
+    /** Maximum size of a response; listings name thousands of objects, and a store in trouble may send more. */
+    private static final long MAX_RESPONSE_BYTES = 16 << 20;
+
     private final AsyncHttpClient client;
     private final ObjectStoreSettings settings;
 
@@ -152,7 +155,7 @@
 
     private <T> CompletableFuture<T> call(
             RequestBuilder request, Function<Response, T> onResponse, Function<Throwable, T> onFailure) {
-        return client.executeRequest(request.build())
+        return client.executeRequest(request.build(), new BoundedResponseHandler(MAX_RESPONSE_BYTES))
                 .toCompletableFuture()
                 .thenApply(onResponse)
                 .exceptionally(failure -> onFailure.apply(cause(failure)));
