Give up a listing of the store whose pages never end

Each page was limited, but not their number: a store whose pages always name another one made the gateway keep all objects until it had no memory.

EndlessReplyTest.givesUpAListingWhosePagesNeverEnd failed before (2,064 pages of 500 objects within 1.7 s, still going) and passes now; a listing ends at 50,000 objects or 16 MB, is logged as a failure and tried again. The other 11 forms of replies without end to a store or engine call passed before and pass now.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreWatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreWatcher.java
@@ -32,6 +32,12 @@
     /** Delay after a failed call; calls count against a rate limit that all processes share. */
     private static final long RETRY_DELAY_MS = 250;
 
+    /** Maximum number of objects of a listing; a store in trouble may send pages without end. */
+    private static final int MAX_LISTED_OBJECTS = 50_000;
+
+    /** Maximum size of all pages of a listing. */
+    private static final long MAX_LISTED_BYTES = 16 << 20;
+
     private static final int STATUS_GONE = 410;
     private static final byte[] NO_BODY = new byte[0];
 
@@ -46,6 +52,7 @@
     private long listRequestedSteadyMs;
     private long listRequestedWallMs;
     private long listRevision;
+    private long listedBytes;
     private boolean reachable = true;
     private boolean closed;
 
@@ -80,6 +87,7 @@
     /** Starts with a new listing, and watches for changes after it. */
     public void start() {
         listedObjects.clear();
+        listedBytes = 0;
         listPage(Optional.empty());
     }
 
@@ -121,6 +129,12 @@
             // again.
             listRevision = page.revision();
         }
+        listedBytes += body.length;
+        if (listedObjects.size() > MAX_LISTED_OBJECTS || listedBytes > MAX_LISTED_BYTES) {
+            listedObjects.clear();
+            retryAfterFailure("listing without end");
+            return;
+        }
         if (page.truncated() && !page.objects().isEmpty()) {
             listPage(Optional.of(page.objects().getLast().name()));
             return;
