--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -376,6 +376,9 @@
             end();
         } else if (result == ProbeResult.REFUSED) {
             onFailure("the connection ended and the upstream no longer listens");
+        } else if (dispatcher.anyRankCrashed()) {
+            // The other ranks of a group cut off what is in progress, and go on listening.
+            onFailure("the connection ended after another rank of the group had crashed");
         } else {
             endProven = result == ProbeResult.LISTENING;
             complete(framing + ", " + result);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -9,11 +9,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
-import org.kingcuproad.policy.gateway.QueueAdmissionDecision;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RetryPolicy;
@@ -37,6 +35,8 @@
      */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_000;
 
+    private static final long NEW_CONNECTION = -1;
+
     private final Gateway gateway;
     private boolean engine;
     private int tokensPerEvent;
@@ -50,11 +50,13 @@
     private final OutcomeRecorder outcomeRecorder;
     private final UpstreamNotices notices;
     private final UpstreamSelector selector;
+    private final RequestRefusals refusals;
     private boolean dispatching;
 
     ServiceDispatcher(Gateway gateway, String service, WindowedRetryBudget budget) {
         this.gateway = gateway;
         this.selector = new UpstreamSelector(gateway);
+        this.refusals = new RequestRefusals(gateway, queue, upstreams, statistics);
         this.notices = new UpstreamNotices(gateway);
         this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
         this.outcomeRecorder = new OutcomeRecorder(crashProtection, gateway.log());
@@ -105,7 +107,7 @@
             return;
         }
         if (!upstreams.anyUsable()) {
-            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is available");
+            refusals.refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is available");
             return;
         }
         double events = tokensPerEvent == 0 ? 0 : exchange.outputTokens() / tokensPerEvent;
@@ -124,30 +126,7 @@
         queue.add(exchange);
         dispatch();
         if (exchange.attempt() == null && !exchange.done()) {
-            refuseIfLate(exchange, nowMs);
-        }
-    }
-
-    /** Refuses a queued request that is expected to start too late. */
-    private void refuseIfLate(Exchange exchange, long nowMs) {
-        if (returnsTooLate(exchange, nowMs) && queue.remove(exchange)) {
-            endUnservable(exchange);
-            return;
-        }
-        QueueAdmissionDecision admission = QueueAdmissionDecision.of(
-                exchange.schedulingAttributes(), queue.size(), statistics, upstreams.acceptedPerSecond(), nowMs);
-        if (admission.refused() && queue.remove(exchange)) {
-            long retryAfterMs = RetryAfter.ofWait(
-                    admission.expectedWaitMs(),
-                    statistics,
-                    exchange.deadlineMs() - nowMs,
-                    ThreadLocalRandom.current().nextDouble(),
-                    nowMs);
-            gateway.endWithProblem(
-                    exchange,
-                    ErrorKind.OVERLOADED,
-                    "the expected wait is " + admission.expectedWaitMs() + " ms",
-                    retryAfterMs);
+            refusals.refuseIfLate(exchange, nowMs);
         }
     }
 
@@ -183,31 +162,6 @@
         }
     }
 
-    /** Returns whether no upstream is left, or all of them want no requests until it is too late to start this one. */
-    private boolean returnsTooLate(Exchange exchange, long nowMs) {
-        OptionalLong pauseMs = upstreams.allBackingOffForMs(nowMs);
-        return !upstreams.anyUsable()
-                || (pauseMs.isPresent()
-                        && pauseMs.getAsLong() > exchange.schedulingAttributes().startDeadlineMs() - nowMs);
-    }
-
-    private void endUnservable(Exchange exchange) {
-        refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service accepts requests in time");
-    }
-
-    private void refuse(Exchange exchange, ErrorKind kind, String detail) {
-        long nowMs = nowMs();
-        long retryAfterMs = Math.max(
-                upstreams.allBackingOffForMs(nowMs).orElse(0),
-                RetryAfter.of(
-                        queue.size(),
-                        statistics,
-                        exchange.deadlineMs() - nowMs,
-                        ThreadLocalRandom.current().nextDouble(),
-                        nowMs));
-        gateway.endWithProblem(exchange, kind, detail, retryAfterMs);
-    }
-
     /** Sends queued requests while upstreams have capacity. */
     void dispatch() {
         if (dispatching) {
@@ -251,7 +205,7 @@
         activeAttempts.add(attempt);
         upstream.onSend(exchange.promptTokens());
         gateway.upstreamLimits().onSend(upstream, nowMs);
-        long maxIdleMs = exchange.route().retryable() ? Long.MAX_VALUE : NON_RETRYABLE_MAX_IDLE_MS;
+        long maxIdleMs = maxIdleMs(exchange);
         UpstreamConnection idle = upstream.takeIdleConnection(nowMs, maxIdleMs);
         if (idle != null && idle.open()) {
             write(attempt, idle);
@@ -260,6 +214,14 @@
         }
     }
 
+    private static long maxIdleMs(Exchange exchange) {
+        if (exchange.head().method().equals(HttpMethod.HEAD)) {
+            // The decoder expects the next response to have no body, and a late copy of another one has one.
+            return NEW_CONNECTION;
+        }
+        return exchange.route().retryable() ? Long.MAX_VALUE : NON_RETRYABLE_MAX_IDLE_MS;
+    }
+
     private void write(Attempt attempt, UpstreamConnection connection) {
         Exchange exchange = attempt.exchange();
         if (attempt.ended()) {
@@ -318,6 +280,11 @@
         crashProtection.confirmEnd(attempt);
     }
 
+    /** Returns whether the upstreams are ranks of a group of which one is known to have crashed. */
+    boolean anyRankCrashed() {
+        return engine && upstreams.list().stream().anyMatch(Upstream::crashed);
+    }
+
     void onResponse(Attempt attempt, BufferedResponse response) {
         activeAttempts.remove(attempt);
         crashProtection.onResponse(attempt);
@@ -430,7 +397,7 @@
         if (exchange.mayHaveRun()) {
             endLost(exchange);
         } else {
-            refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream accepted the request");
+            refusals.refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream accepted the request");
         }
     }
 
@@ -463,15 +430,15 @@
         queue.removeMatching(
                         exchange -> !exchange.headSent() && !gateway.shutdown().admits(exchange, statistics, nowMs))
                 .forEach(gateway::endForShutdown);
-        queue.removeMatching(exchange -> !exchange.mayHaveRun() && returnsTooLate(exchange, nowMs))
-                .forEach(this::endUnservable);
+        queue.removeMatching(exchange -> !exchange.mayHaveRun() && refusals.returnsTooLate(exchange, nowMs))
+                .forEach(refusals::endUnservable);
         for (Exchange exchange : queue.removeExpired(nowMs)) {
             if (exchange.headSent()) {
                 gateway.abort(exchange, "no upstream had capacity to resume the stream");
             } else if (exchange.mayHaveRun()) {
                 gateway.endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline", -1);
             } else {
-                refuse(exchange, ErrorKind.OVERLOADED, "no upstream had capacity in time");
+                refusals.refuse(exchange, ErrorKind.OVERLOADED, "no upstream had capacity in time");
             }
         }
         for (Attempt attempt : new ArrayList<>(activeAttempts)) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -60,6 +60,11 @@
         crashed = true;
     }
 
+    /** Records that a process listens at the address, which may have started again before the store says so. */
+    void setListening() {
+        crashed = false;
+    }
+
     UpstreamHealth health() {
         return health;
     }
@@ -173,9 +178,12 @@
         return !removed && !replaced && !leaving && !entry.draining();
     }
 
-    /** Returns whether the upstream has said, in a response or in the register, that it is about to end. */
-    boolean announcedLeaving() {
-        return leaving || entry.draining();
+    /**
+     * Returns whether the upstream may end as planned after a response: it has said so in a response or in the
+     * register, or its entry has been removed while it still served.
+     */
+    boolean mayEndAsPlanned() {
+        return leaving || entry.draining() || removed;
     }
 
     /** Returns the time until which the upstream wants no requests, in milliseconds; it may have passed. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
@@ -9,6 +9,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -18,6 +19,12 @@
     /** Timeout of connecting. Upstreams are at most a few milliseconds away, and a VM that is down never responds. */
     private static final int CONNECT_TIMEOUT_MS = 250;
 
+    /**
+     * Time until a probe. A process that ends closes its sockets one after the other, and the listening one may still
+     * be open when the end of a connection arrives.
+     */
+    private static final long PROBE_DELAY_MS = 10;
+
     private UpstreamConnector() {}
 
     /** Opens a connection for an attempt, and fails the attempt if the connection can't be opened. */
@@ -48,12 +55,16 @@
             Upstream upstream,
             Consumer<ProbeResult> onResult) {
         UpstreamConnection connection = new UpstreamConnection(upstream, clock, requestIdHeader);
-        open(eventLoop, upstream, connection).addListener((ChannelFutureListener) future -> {
+        ChannelFutureListener onOpened = future -> {
             if (future.isSuccess()) {
                 connection.makeAvailable();
             }
             onResult.accept(ProbeResult.of(future.cause()));
-        });
+        };
+        eventLoop.schedule(
+                () -> open(eventLoop, upstream, connection).addListener(onOpened),
+                PROBE_DELAY_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private static ChannelFuture open(EventLoop eventLoop, Upstream upstream, UpstreamConnection connection) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -74,12 +74,7 @@
      * @param onProbed receives whether the upstream still listens
      */
     void onEndedWithConnection(Upstream upstream, List<String> promptParts, Consumer<ProbeResult> onProbed) {
-        if (upstream.crashed()) {
-            onDisconnected(upstream, promptParts);
-            onProbed.accept(ProbeResult.REFUSED);
-        } else {
-            suspect(upstream).ended.add(new Ended(promptParts, onProbed));
-        }
+        suspect(upstream).ended.add(new Ended(promptParts, onProbed));
     }
 
     private Suspicion suspect(Upstream upstream) {
@@ -102,6 +97,9 @@
         if (probed == null) {
             return;
         }
+        if (result == ProbeResult.LISTENING) {
+            upstream.setListening();
+        }
         if (result == ProbeResult.REFUSED) {
             upstream.setCrashed();
             List<List<String>> prompts = Stream.of(probed.before, probed.meanwhile)
