Keep an account of the bytes that a gateway holds

What callers saw: while 27 clients uploaded 4 MB each, within the configured limit, the gateway answered nobody for seconds, and all uploads were cut. The same happened while upstreams sent responses without end to 180 callers, of which half read slowly: readiness fell, lookups failed.

Cause: nothing limited the bodies, buffered responses and queues of slow readers of all connections together. When direct memory was used up, each read failed after a garbage collection and half a second of waiting, on the only event loop. Bodies in small parts held a buffer for each part; a large response kept its buffer after it had been passed on.

Change: MemoryAccount counts all of it, with a limit of three quarters of the direct memory or half of the heap. A large body is reserved as a whole before it is read (BodyAdmission), its client is not read for up to 0.5 s, then gets 503 with Retry-After. Small bodies have a reserve and don't wait. Bodies are copied into blocks that are used again, since freeing direct memory takes a collection. Above the limit a response is read only when all that was read has been written, and is buffered up to 16 KB.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -28,6 +28,12 @@
      */
     private static final int MAX_BUFFERED_BYTES = 256 << 10;
 
+    /** Size up to which a response is buffered also while memory is short. */
+    private static final int MIN_BUFFERED_BYTES = 16 << 10;
+
+    /** A buffer that grows takes up to twice the bytes that it holds. */
+    private static final int BUFFER_GROWTH = 2;
+
     /** Maximum size of a body that is read only to use the connection again. */
     private static final long MAX_DISCARDED_BYTES = 64 << 10;
 
@@ -46,7 +52,8 @@
     private final Upstream upstream;
     private final long sentMs;
     private final EventStreamParser parser = new EventStreamParser();
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private long heldBytes;
     private ResponseMode mode = ResponseMode.AWAITING_HEAD;
     private @Nullable HttpResponse head;
     private @Nullable AttemptOutcome discardOutcome;
@@ -226,14 +233,24 @@
 
     private void buffer(ByteBuf bytes) {
         buffered.writeBytes(ByteBufUtil.getBytes(bytes));
-        if (buffered.size() > MAX_BUFFERED_BYTES) {
+        hold((long) buffered.size() * BUFFER_GROWTH);
+        boolean memoryShort = buffered.size() > MIN_BUFFERED_BYTES
+                && exchange.connection().memoryAccount().exhausted();
+        if (buffered.size() > MAX_BUFFERED_BYTES || memoryShort) {
+            byte[] bytesSoFar = buffered.toByteArray();
+            buffered = new ByteArrayOutputStream(0);
+            hold(0);
             forwardHead();
-            forward(buffered.toByteArray());
-            buffered.reset();
             mode = ResponseMode.FORWARDED;
+            forward(bytesSoFar);
         }
     }
 
+    private void hold(long bytes) {
+        exchange.connection().memoryAccount().add(bytes - heldBytes);
+        heldBytes = bytes;
+    }
+
     private void forward(byte[] bytes) {
         exchange.forwarded().onBytes(bytes.length);
         exchange.connection().sendContent(bytes);
@@ -251,6 +268,7 @@
 
     private void onEventBytes(ByteBuf bytes) {
         List<StreamEvent> events = parser.feed(ByteBufUtil.getBytes(bytes));
+        hold(parser.bufferBytes());
         if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
             bytesWithoutProgress = 0;
         } else {
@@ -433,6 +451,7 @@
 
     private void end() {
         ended = true;
+        hold(0);
         upstream.onAttemptEnded();
         if (!responseStarted) {
             upstream.onPrefillEnded(exchange.promptTokens());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -1,7 +1,6 @@
 package org.kingcuproad.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,6 +11,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -26,7 +26,10 @@
 import java.util.Deque;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.gateway.BodyAdmission;
 import org.kingcuproad.policy.gateway.ClientLimits;
+import org.kingcuproad.policy.gateway.MemoryAccount;
+import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.UploadProgress;
 
 /**
@@ -50,12 +53,19 @@
     /** Time in which the first request of a new connection is expected; clients connect because they have one. */
     private static final long FIRST_REQUEST_MS = 1_000;
 
+    /** Maximum size of a part of a response body; larger parts would take direct memory that is not pooled. */
+    private static final int MAX_CONTENT_BYTES = 32 << 10;
+
     private final Gateway gateway;
     private final Channel channel;
     private final ClientLimits limits;
+    private final HeldMemory memory;
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private @Nullable HttpRequest head;
-    private @Nullable CompositeByteBuf body;
+    private @Nullable RequestBody body;
+    private long declaredBodyBytes;
+    private boolean awaitingMemory;
+    private long awaitingMemorySinceMs;
     private @Nullable ByteBuf content;
     private @Nullable Exchange exchange;
     private boolean requestInProgress;
@@ -68,10 +78,11 @@
     private boolean requestReceived;
     private UploadProgress upload;
 
-    ClientConnection(Gateway gateway, Channel channel, ClientLimits limits) {
+    ClientConnection(Gateway gateway, Channel channel, ClientLimits limits, HeldMemory memory) {
         this.gateway = gateway;
         this.channel = channel;
         this.limits = limits;
+        this.memory = memory;
         this.openedMs = gateway.clock().steadyMs();
         this.lastActivityMs = openedMs;
         this.upload = new UploadProgress(openedMs);
@@ -89,7 +100,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (closing) {
             ReferenceCountUtil.release(message);
-        } else if (requestInProgress) {
+        } else if (requestInProgress || awaitingMemory) {
             if (pipelined.size() >= MAX_PIPELINED_MESSAGES) {
                 ReferenceCountUtil.release(message);
                 context.close();
@@ -130,19 +141,59 @@
             reject(ErrorKind.BAD_REQUEST);
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        declaredBodyBytes = HttpUtil.getContentLength(request, 0L);
+        if (declaredBodyBytes > limits.maxBodyBytes()) {
             reject(ErrorKind.BODY_TOO_LARGE);
             return;
         }
+        awaitingMemorySinceMs = lastActivityMs;
+        admitBody(request, memory.bodiesWait(), lastActivityMs);
+        if (awaitingMemory) {
+            memory.await(this);
+        }
+    }
+
+    /**
+     * Decides again about a body that waits for memory.
+     *
+     * @param nowMs current time, in milliseconds
+     * @return whether the body goes on waiting
+     */
+    boolean stillAwaitsMemory(long nowMs) {
+        HttpRequest request = head;
+        if (awaitingMemory && request != null) {
+            admitBody(request, false, nowMs);
+            if (!awaitingMemory) {
+                channel.config().setAutoRead(true);
+                receivePipelined();
+            }
+        }
+        return awaitingMemory;
+    }
+
+    private void admitBody(HttpRequest request, boolean othersWait, long nowMs) {
+        BodyAdmission admission =
+                BodyAdmission.of(memory.account(), declaredBodyBytes, othersWait, nowMs - awaitingMemorySinceMs);
+        awaitingMemory = admission == BodyAdmission.PAUSE;
+        switch (admission) {
+            case ADMIT -> startBody(request, nowMs);
+            case PAUSE -> channel.config().setAutoRead(false);
+            case REFUSE -> refuseBody();
+        }
+    }
+
+    private void startBody(HttpRequest request, long nowMs) {
+        lastActivityMs = nowMs;
+        upload = new UploadProgress(nowMs);
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
-        body = channel.alloc().compositeBuffer(Integer.MAX_VALUE);
+        body = new RequestBody(channel.alloc(), memory, declaredBodyBytes);
     }
 
     private void onContent(HttpContent content) {
-        CompositeByteBuf received = body;
+        RequestBody received = body;
         HttpRequest request = head;
         if (received == null || request == null) {
             return;
@@ -151,15 +202,17 @@
             reject(ErrorKind.BAD_REQUEST);
             return;
         }
-        if (received.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+        if (received.receivedBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
             reject(ErrorKind.BODY_TOO_LARGE);
             return;
         }
         upload.onBytes(content.content().readableBytes());
-        if (content.content().isReadable()) {
-            received.addComponent(true, content.content().retain());
+        if (!received.append(content.content())) {
+            refuseBody();
+            return;
         }
         if (content instanceof LastHttpContent) {
+            received.complete();
             body = null;
             head = null;
             requestInProgress = true;
@@ -169,12 +222,24 @@
     }
 
     private void reject(ErrorKind kind) {
+        endRequest();
+        gateway.onMalformed(kind);
+        sendProblem(kind, kind.meaning(), -1);
+    }
+
+    private void refuseBody() {
+        long refusedBytes = body == null ? declaredBodyBytes : Math.max(declaredBodyBytes, body.receivedBytes());
+        endRequest();
+        memory.onBodyRefused(refusedBytes);
+        sendProblem(
+                ErrorKind.OVERLOADED, "the gateway has no memory for the request body", RetryAfter.OTHER_GATEWAY_MS);
+    }
+
+    private void endRequest() {
         keepAlive = false;
         requestInProgress = true;
         receivingSinceMs = -1;
         releaseBody();
-        gateway.onMalformed(kind);
-        sendProblem(kind, kind.meaning(), -1);
     }
 
     /** Associates the connection with the request in progress, which is cancelled if the client disconnects. */
@@ -206,7 +271,10 @@
         if (!keepAlive) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
+        int bodyBytes =
+                response instanceof FullHttpResponse full ? full.content().readableBytes() : 0;
         ChannelFuture written = channel.writeAndFlush(ReferenceCountUtil.retain(response));
+        memory.holdUntilWritten(bodyBytes, written);
         if (complete) {
             onResponseSent(written);
         }
@@ -219,23 +287,31 @@
      * @param bytes the part; must not be modified
      */
     void sendContent(byte[] bytes) {
-        if (bytes.length == 0) {
-            return;
-        }
-        ByteBuf collected = content;
-        if (collected == null) {
-            collected = channel.alloc().buffer(bytes.length);
-            content = collected;
-            channel.eventLoop().execute(this::flushContent);
+        int offset = 0;
+        while (offset < bytes.length) {
+            ByteBuf collected = content;
+            if (collected == null) {
+                collected =
+                        channel.alloc().buffer(Math.min(bytes.length - offset, MAX_CONTENT_BYTES), MAX_CONTENT_BYTES);
+                content = collected;
+                channel.eventLoop().execute(this::flushContent);
+            }
+            int count = Math.min(bytes.length - offset, collected.maxWritableBytes());
+            collected.writeBytes(bytes, offset, count);
+            offset += count;
+            if (collected.maxWritableBytes() == 0) {
+                flushContent();
+            }
         }
-        collected.writeBytes(bytes);
     }
 
     private void flushContent() {
         ByteBuf collected = content;
         content = null;
         if (collected != null) {
-            channel.writeAndFlush(new DefaultHttpContent(collected));
+            int bytes = collected.readableBytes();
+            memory.holdUntilWritten(bytes, channel.writeAndFlush(new DefaultHttpContent(collected)));
+            resumeReading();
         }
     }
 
@@ -255,8 +331,28 @@
         channel.close();
     }
 
+    /**
+     * Returns whether more of a response may be read. While memory is short, that is only when all that was read has
+     * been written.
+     */
     boolean writable() {
-        return channel.isWritable();
+        return channel.isWritable() && (!memory.account().exhausted() || (content == null && nothingPending()));
+    }
+
+    MemoryAccount memoryAccount() {
+        return memory.account();
+    }
+
+    private boolean nothingPending() {
+        return channel.bytesBeforeUnwritable() >= channel.config().getWriteBufferHighWaterMark();
+    }
+
+    private void resumeReading() {
+        Exchange current = exchange;
+        Attempt attempt = current == null ? null : current.attempt();
+        if (attempt != null && writable()) {
+            attempt.setAutoRead(true);
+        }
     }
 
     private void onResponseSent(ChannelFuture written) {
@@ -278,7 +374,11 @@
             return;
         }
         requestInProgress = false;
-        while (!requestInProgress && !closing && !pipelined.isEmpty()) {
+        receivePipelined();
+    }
+
+    private void receivePipelined() {
+        while (!requestInProgress && !awaitingMemory && !closing && !pipelined.isEmpty()) {
             receive(pipelined.removeFirst());
         }
     }
@@ -297,6 +397,7 @@
             boolean headTimedOut =
                     head == null && receivingSinceMs >= 0 && nowMs - receivingSinceMs > limits.headerTimeoutMs();
             boolean bodyTimedOut = head != null
+                    && !awaitingMemory
                     && (nowMs - lastActivityMs > limits.headerTimeoutMs()
                             || upload.isStalled(limits.headerTimeoutMs(), nowMs));
             if (headTimedOut || bodyTimedOut) {
@@ -304,6 +405,8 @@
             } else if (head == null && receivingSinceMs < 0 && nowMs - lastActivityMs > limits.idleTimeoutMs()) {
                 channel.close();
             }
+        } else {
+            resumeReading();
         }
     }
 
@@ -326,7 +429,7 @@
         Exchange current = exchange;
         Attempt attempt = current == null ? null : current.attempt();
         if (attempt != null) {
-            attempt.setAutoRead(channel.isWritable());
+            attempt.setAutoRead(writable());
         }
     }
 
@@ -340,6 +443,7 @@
         Exchange current = exchange;
         exchange = null;
         closing = true;
+        awaitingMemory = false;
         if (current != null) {
             gateway.onClientDisconnected(current);
         }
@@ -352,7 +456,7 @@
     }
 
     private void releaseBody() {
-        CompositeByteBuf received = body;
+        RequestBody received = body;
         body = null;
         head = null;
         if (received != null) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -88,6 +88,7 @@
     private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final Set<ClientConnection> connections = new HashSet<>();
+    private final HeldMemory memory;
     private @Nullable ClientListener listener;
     private long acceptedConnections;
     private long lastSweepSteadyMs;
@@ -111,6 +112,7 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        this.memory = HeldMemory.ofProcess(metrics, log);
         this.eventLoopMonitor = new EventLoopMonitor(metrics, log);
         this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
         this.storeView = new StoreView(log, clock, settings, this::onStoreViewChanged);
@@ -215,7 +217,7 @@
     }
 
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
-        ClientConnection connection = new ClientConnection(this, channel, limits);
+        ClientConnection connection = new ClientConnection(this, channel, limits, memory);
         connections.add(connection);
         acceptedConnections++;
         return connection;
@@ -470,6 +472,7 @@
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
         upstreamLimits.report(nowMs);
+        memory.admitBodies(nowMs);
         List.copyOf(connections).forEach(connection -> connection.sweep(nowMs));
         boolean ready = ready();
         if (ready != lastReady) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -20,6 +21,8 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
@@ -58,6 +61,8 @@
 
     static final String SEAL = "X-Seal: s\r\n";
 
+    private static final String SERVICE = "desk";
+
     private static final long STORE_DELAY_MS = 500;
 
     private final List<AutoCloseable> resources = new ArrayList<>();
@@ -74,6 +79,8 @@
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
+    private String lookupService = SERVICE;
+    private OutputStream logOutput = OutputStream.nullOutputStream();
 
     GatewayFixture() throws IOException {
         this.port = freePort();
@@ -128,13 +135,32 @@
         headerTimeoutMs = newHeaderTimeoutMs;
     }
 
+    /** Sets where the gateway writes its log. */
+    void setLogOutput(OutputStream newLogOutput) {
+        logOutput = newLogOutput;
+    }
+
+    InetSocketAddress readyAddress() {
+        return new InetSocketAddress(host, readyPort);
+    }
+
     InetSocketAddress address() {
         return new InetSocketAddress(host, port);
     }
 
     /** Registers an upstream that does not exist. */
     void addEntry(String upstreamHost, int upstreamPort) {
-        entries.add(new UpstreamEntry("u" + entries.size(), "desk", upstreamHost, upstreamPort, "dc", 4, false, 0));
+        addEntry(SERVICE, upstreamHost, upstreamPort);
+    }
+
+    /** Sets the service of the idempotent route. */
+    void setLookupService(String newLookupService) {
+        lookupService = newLookupService;
+    }
+
+    /** Registers an upstream of a service. */
+    void addEntry(String service, String upstreamHost, int upstreamPort) {
+        entries.add(new UpstreamEntry("u" + entries.size(), service, upstreamHost, upstreamPort, "dc", 4, false, 0));
     }
 
     FakeUpstream upstream(Function<String, FakeUpstream.Reply> script) throws IOException {
@@ -172,7 +198,7 @@
                 1,
                 false,
                 true,
-                List.of(new WeightedService("desk", 1)));
+                List.of(new WeightedService(kind == RouteKind.IDEMPOTENT ? lookupService : SERVICE, 1)));
     }
 
     /** Creates and starts a gateway, and waits until it is ready. */
@@ -190,7 +216,11 @@
                         route(RouteKind.IDEMPOTENT, 2),
                         route(RouteKind.NON_IDEMPOTENT, orderAttempts),
                         route(RouteKind.STREAMING, 2)),
-                Map.of("desk", new ServiceConfiguration("desk", 10, engines, 0, Optional.empty(), 120)),
+                Stream.of(SERVICE, lookupService)
+                        .distinct()
+                        .collect(Collectors.toMap(
+                                name -> name,
+                                name -> new ServiceConfiguration(name, 10, engines, 0, Optional.empty(), 120))),
                 new ClientLimits(8_192, maxBodyBytes, headerTimeoutMs, 5_000),
                 true,
                 Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
@@ -222,7 +252,7 @@
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         exit = () -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         resources.add(exit);
-        LineSink sink = new LineSink(java.io.OutputStream.nullOutputStream());
+        LineSink sink = new LineSink(logOutput);
         return new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis));
     }
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
@@ -88,6 +88,15 @@
         return Arrays.copyOf(pending, length);
     }
 
+    /**
+     * Returns the size of the buffer for the incomplete event.
+     *
+     * @return number of bytes
+     */
+    public int bufferBytes() {
+        return pending.length;
+    }
+
     /**
      * Returns whether the incomplete event is larger than any event may be.
      *
