--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -86,6 +86,7 @@
     private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
     private final ClientConnections connections = new ClientConnections();
+    private final HeldMemory memory;
     private @Nullable ClientListener listener;
     private long lastSweepSteadyMs;
     private long lastSweepWallMs;
@@ -108,6 +109,7 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        this.memory = HeldMemory.ofProcess(metrics, log);
         this.eventLoopMonitor = new EventLoopMonitor(metrics, log);
         this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
         this.storeView = new StoreView(log, clock, settings, this::onStoreViewChanged);
@@ -213,7 +215,7 @@
     }
 
     private ClientConnection createConnection(Channel channel, ClientLimits limits) {
-        ClientConnection connection = new ClientConnection(this, channel, limits);
+        ClientConnection connection = new ClientConnection(this, channel, limits, memory);
         connections.add(connection, clock.steadyMs());
         return connection;
     }
@@ -467,6 +469,7 @@
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
         upstreamLimits.report(nowMs);
+        memory.admitBodies(nowMs);
         connections.list().forEach(connection -> connection.sweep(nowMs));
         boolean ready = ready();
         if (ready != lastReady) {
