--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedFlood.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedFlood.java
@@ -30,6 +30,11 @@
                 : values()[random.nextInt(1, values().length)];
     }
 
+    /** Returns whether the flood comes as an event stream. */
+    boolean isStream() {
+        return begin.contains("text/event-stream");
+    }
+
     byte[] begin() {
         return begin.getBytes(StandardCharsets.UTF_8);
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedOracle.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedOracle.java
@@ -70,7 +70,7 @@
 
     private static Optional<String> faultOfSealed(
             ShapedRequest request, ShapedAnswer answer, ShapedRun run, List<ShapedRun> runs) {
-        boolean stream = run.successful() && run.response().events().isPresent();
+        boolean stream = run.successful() && run.response().isStream();
         if (stream && runs.size() > 1) {
             return ShapedStreamOracle.fault(request, answer, run, runs);
         }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedResponse.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedResponse.java
@@ -110,6 +110,11 @@
         return status / 100 == 2;
     }
 
+    /** Returns whether the response says that it is an event stream. */
+    boolean isStream() {
+        return events.isPresent() || flood.isStream();
+    }
+
     /** Returns the whole body, without its framing. */
     byte[] body() {
         if (framing == ResponseFraming.NO_BODY) {
