Compare all prompt parts when upstreams crash

Callers saw sound streams lost for as long as requests with a fatal prompt part came: the part was never quarantined if it was behind the 16th part or had an id of more than 32 characters.

Crash reports take several datagrams of at most 1,400 bytes, prompts are split and joined by the receiver, and a large report is sent in turns of 32 datagrams. The datagram has a new type, which gateways of earlier versions ignore. Attribution groups parts that occur in the same prompts.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashReportCodec.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashReportCodec.java
@@ -2,101 +2,113 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.function.BiConsumer;
-import org.kingcuproad.policy.quarantine.UpstreamCrash;
+import java.util.UUID;
+import java.util.function.Consumer;
 
-/** Binary format of crash reports. What does not fit into one datagram is left out. */
+/**
+ * Binary format of crash reports. A report takes as many datagrams as it needs; each starts with the sender, and
+ * prompts with many parts are split.
+ */
 final class CrashReportCodec {
 
-    /** First byte of a report; differs from those of load reports and slowdown notices. */
-    static final int TYPE = 2;
+    /** First byte of a report; differs from those of load and limit reports and slowdown notices. */
+    static final int TYPE = 4;
+
+    static final int QUARANTINE = 1;
+    static final int LOST_PROMPT = 2;
+    static final int PROVEN_PARTS = 3;
 
     /** Maximum size of a datagram; it must fit into one packet on common links. */
     private static final int MAX_BYTES = 1_400;
 
-    private static final int MAX_ITEMS = 255;
-
-    private CrashReportCodec() {}
+    private final CrashReport report;
+    private final List<ByteBuf> datagrams = new ArrayList<>();
+    private ByteBuf current;
 
-    static ByteBuf encode(CrashReport report) {
-        ByteBuf message = Unpooled.buffer(MAX_BYTES);
-        message.writeByte(TYPE);
-        DatagramText.write(message, report.sender());
-        DatagramText.write(message, report.service());
-        message.writeInt((int) report.answers());
-        writeItems(message, report.quarantineAgesMs().entrySet(), (buffer, quarantine) -> {
-            buffer.writeInt(quarantine.getValue().intValue());
-            writeTexts(buffer, quarantine.getKey());
-        });
-        writeItems(message, report.lostPrompts().entrySet(), (buffer, crash) -> {
-            DatagramText.write(buffer, crash.getKey().upstreamId());
-            buffer.writeLong(crash.getKey().startedMs());
-            writeItems(buffer, crash.getValue(), CrashReportCodec::writeTexts);
-        });
-        writeItems(message, report.provenParts(), DatagramText::write);
-        return message;
+    private CrashReportCodec(CrashReport report) {
+        this.report = report;
+        this.current = startDatagram();
     }
 
-    /**
-     * Decodes a report.
-     *
-     * @throws IndexOutOfBoundsException if the message is truncated
-     */
-    static CrashReport decode(ByteBuf message) {
-        message.skipBytes(1);
-        String sender = DatagramText.read(message);
-        String service = DatagramText.read(message);
-        long answers = message.readInt();
-        Map<Set<String>, Long> quarantineAgesMs = new HashMap<>();
-        for (int left = message.readUnsignedByte(); left > 0; left--) {
-            long ageMs = message.readInt();
-            quarantineAgesMs.put(Set.copyOf(readTexts(message)), ageMs);
-        }
-        Map<UpstreamCrash.Incarnation, Set<List<String>>> lostPrompts = new HashMap<>();
-        for (int left = message.readUnsignedByte(); left > 0; left--) {
-            UpstreamCrash.Incarnation upstream =
-                    new UpstreamCrash.Incarnation(DatagramText.read(message), message.readLong());
-            Set<List<String>> prompts = new HashSet<>();
-            for (int promptsLeft = message.readUnsignedByte(); promptsLeft > 0; promptsLeft--) {
-                prompts.add(readTexts(message));
-            }
-            lostPrompts.put(upstream, prompts);
+    /** Encodes a report into at least one datagram. */
+    static List<ByteBuf> encode(CrashReport report) {
+        CrashReportCodec codec = new CrashReportCodec(report);
+        report.quarantineAgesMs()
+                .forEach((parts, ageMs) -> codec.writeParts(
+                        QUARANTINE,
+                        head -> head.writeInt(ageMs.intValue()),
+                        parts.stream().sorted().toList()));
+        report.lostPrompts()
+                .forEach((upstream, prompts) -> prompts.forEach(prompt -> codec.writeParts(
+                        LOST_PROMPT,
+                        head -> {
+                            DatagramText.write(head, upstream.upstreamId());
+                            head.writeLong(upstream.startedMs());
+                        },
+                        prompt)));
+        if (!report.provenParts().isEmpty()) {
+            codec.writeParts(PROVEN_PARTS, head -> {}, report.provenParts());
         }
-        return new CrashReport(sender, service, answers, quarantineAgesMs, lostPrompts, readTexts(message));
+        return List.copyOf(codec.datagrams);
+    }
+
+    private ByteBuf startDatagram() {
+        ByteBuf datagram = Unpooled.buffer(MAX_BYTES);
+        datagram.writeByte(TYPE);
+        DatagramText.write(datagram, report.sender());
+        DatagramText.write(datagram, report.service());
+        datagram.writeInt((int) report.answers());
+        datagrams.add(datagram);
+        return datagram;
     }
 
-    /** Writes the number of items and then as many as fit, leaving room for the counts of the lists that follow. */
-    private static <T> void writeItems(ByteBuf message, Collection<T> items, BiConsumer<ByteBuf, T> writer) {
-        int countIndex = message.writerIndex();
-        message.writeByte(0);
-        int count = 0;
-        for (T item : items) {
-            ByteBuf encoded = Unpooled.buffer();
-            writer.accept(encoded, item);
-            if (count < MAX_ITEMS && message.writerIndex() + encoded.readableBytes() + 2 <= MAX_BYTES) {
-                message.writeBytes(encoded);
+    /** Writes a list of parts in as many pieces as needed, each with the head of the list. */
+    private void writeParts(int kind, Consumer<ByteBuf> headWriter, List<String> parts) {
+        ByteBuf head = Unpooled.buffer();
+        head.writeByte(kind);
+        headWriter.accept(head);
+        head.writeLong(identity(parts));
+        head.writeInt(parts.size());
+        int start = 0;
+        do {
+            int sizeOfFirst = parts.isEmpty() ? 0 : encoded(parts.get(start)).readableBytes();
+            if (!fits(head.readableBytes() + Integer.BYTES + Short.BYTES + sizeOfFirst)) {
+                current = startDatagram();
+            }
+            current.writeBytes(head.duplicate());
+            current.writeInt(start);
+            int countIndex = current.writerIndex();
+            current.writeShort(0);
+            int count = 0;
+            while (start < parts.size()) {
+                ByteBuf part = encoded(parts.get(start));
+                if (!fits(part.readableBytes())) {
+                    break;
+                }
+                current.writeBytes(part);
+                start++;
                 count++;
             }
-        }
-        message.setByte(countIndex, count);
+            current.setShort(countIndex, count);
+        } while (start < parts.size());
     }
 
-    private static void writeTexts(ByteBuf message, Collection<String> texts) {
-        writeItems(message, texts, DatagramText::write);
+    private boolean fits(int bytes) {
+        return current.writerIndex() + bytes <= MAX_BYTES;
     }
 
-    private static List<String> readTexts(ByteBuf message) {
-        List<String> texts = new ArrayList<>();
-        for (int left = message.readUnsignedByte(); left > 0; left--) {
-            texts.add(DatagramText.read(message));
-        }
-        return texts;
+    private static ByteBuf encoded(String part) {
+        ByteBuf text = Unpooled.buffer();
+        DatagramText.write(text, part);
+        return text;
+    }
+
+    /** Returns a number by which the receiver recognises the pieces of one list. */
+    private static long identity(List<String> parts) {
+        byte[] text = String.join(",", parts).getBytes(StandardCharsets.UTF_8);
+        return UUID.nameUUIDFromBytes(text).getMostSignificantBits();
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
@@ -33,12 +33,17 @@
     /** Maximum size of a datagram; it must fit into one packet on common links. */
     private static final int MAX_BYTES = 1_400;
 
+    /** Maximum number of datagrams of one crash report; the repetitions of the report send the others. */
+    private static final int MAX_CRASH_DATAGRAMS = 32;
+
+    private final CrashReportReader crashReportReader = new CrashReportReader();
     private final DecisionLog log;
     private final String name;
     private final PeerLoads loads;
     private final Listener listener;
     private final Clock clock;
     private @Nullable Channel channel;
+    private int nextCrashDatagram;
 
     /** Receives what other gateways and agents report. */
     interface Listener {
@@ -100,9 +105,16 @@
         broadcast(open, message, addresses);
     }
 
-    /** Sends a crash report to all known peers. */
+    /** Sends a crash report to all known peers, or the next part of a large one. */
     void send(CrashReport report) {
-        broadcast(() -> CrashReportCodec.encode(report));
+        List<ByteBuf> datagrams = CrashReportCodec.encode(report);
+        int count = Math.min(datagrams.size(), MAX_CRASH_DATAGRAMS);
+        int first = count == datagrams.size() ? 0 : nextCrashDatagram % datagrams.size();
+        for (int index = 0; index < count; index++) {
+            ByteBuf datagram = datagrams.get((first + index) % datagrams.size());
+            broadcast(() -> datagram);
+        }
+        nextCrashDatagram = first + count;
     }
 
     /** Sends a report of request limits to all known peers. */
@@ -144,7 +156,7 @@
             }
             try {
                 switch (message.getUnsignedByte(message.readerIndex())) {
-                    case CrashReportCodec.TYPE -> listener.onCrashReport(CrashReportCodec.decode(message));
+                    case CrashReportCodec.TYPE -> listener.onCrashReport(crashReportReader.read(message));
                     case LimitReportCodec.TYPE -> listener.onLimitReport(LimitReportCodec.decode(message));
                     case FORMAT_VERSION -> readLoads(message, packet.sender());
                     default -> {}
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/CrashAttribution.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/CrashAttribution.java
@@ -1,12 +1,16 @@
 package org.kingcuproad.policy.quarantine;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.LongSummaryStatistics;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * Attributes crashes of upstreams to the prompt parts that the requests lost there have in common.
@@ -30,7 +34,11 @@
 
     private CrashAttribution() {}
 
-    private record Candidate(Set<String> parts, List<UpstreamCrash> crashes) {}
+    /** A prompt of a lost request without its proven parts, and the index of the crash with which it was lost. */
+    private record LostPrompt(int crash, Set<String> parts) {}
+
+    /** The lost prompts with a suspected part, as indexes, and the crashes with which they were lost. */
+    private record Candidate(List<Integer> prompts, Set<Integer> crashes) {}
 
     /**
      * Finds the combinations of prompt parts that explain crashes best.
@@ -43,13 +51,25 @@
      * @return the combinations, empty if the evidence does not suffice
      */
     public static Set<Set<String>> attribute(Collection<UpstreamCrash> crashes, Predicate<String> proven) {
-        List<Candidate> candidates = crashes.stream()
-                .flatMap(crash -> crash.prompts().stream())
-                .flatMap(List::stream)
+        List<UpstreamCrash> known = List.copyOf(crashes);
+        List<LostPrompt> lost = IntStream.range(0, known.size())
+                .boxed()
+                .flatMap(crash -> known.get(crash).prompts().stream()
+                        .map(prompt -> new LostPrompt(crash, unproven(prompt, proven))))
+                .toList();
+        Map<String, List<Integer>> promptsWith = new HashMap<>();
+        for (int index = 0; index < lost.size(); index++) {
+            for (String part : lost.get(index).parts) {
+                promptsWith.computeIfAbsent(part, unused -> new ArrayList<>()).add(index);
+            }
+        }
+        // Parts that occur in the same prompts are one candidate, since a prompt may have thousands of parts.
+        List<Candidate> candidates = promptsWith.values().stream()
                 .distinct()
-                .filter(proven.negate())
-                .map(part -> candidate(part, crashes, proven))
-                .filter(candidate -> explainsEnough(candidate, crashes))
+                .map(prompts -> new Candidate(
+                        prompts,
+                        prompts.stream().map(index -> lost.get(index).crash).collect(Collectors.toSet())))
+                .filter(candidate -> explainsEnough(candidate, known))
                 .toList();
         int most = candidates.stream()
                 .mapToInt(candidate -> candidate.crashes.size())
@@ -57,33 +77,32 @@
                 .orElse(0);
         Set<Set<String>> best = candidates.stream()
                 .filter(candidate -> candidate.crashes.size() == most)
-                .map(Candidate::parts)
+                .map(candidate -> commonParts(candidate, lost))
                 .collect(Collectors.toSet());
         return best.stream()
                 .filter(parts -> best.stream().noneMatch(other -> isProperSubset(parts, other)))
                 .collect(Collectors.toSet());
     }
 
-    private static Candidate candidate(String part, Collection<UpstreamCrash> crashes, Predicate<String> proven) {
-        List<UpstreamCrash> explained = crashes.stream()
-                .filter(crash -> crash.prompts().stream().anyMatch(prompt -> prompt.contains(part)))
-                .toList();
-        Set<String> common = explained.stream()
-                .flatMap(crash -> crash.prompts().stream())
-                .filter(prompt -> prompt.contains(part))
-                .map(prompt -> prompt.stream().filter(proven.negate()).collect(Collectors.toSet()))
+    private static Set<String> unproven(List<String> prompt, Predicate<String> proven) {
+        return prompt.stream().filter(proven.negate()).collect(Collectors.toSet());
+    }
+
+    private static Set<String> commonParts(Candidate candidate, List<LostPrompt> lost) {
+        return candidate.prompts.stream()
+                .map(index -> lost.get(index).parts)
                 .reduce(CrashAttribution::intersection)
                 .orElseGet(Set::of);
-        return new Candidate(common, explained);
     }
 
-    private static boolean explainsEnough(Candidate candidate, Collection<UpstreamCrash> crashes) {
+    private static boolean explainsEnough(Candidate candidate, List<UpstreamCrash> crashes) {
         int explained = candidate.crashes.size();
         if (explained < MIN_CRASHES) {
             return false;
         }
-        LongSummaryStatistics timesMs =
-                candidate.crashes.stream().mapToLong(UpstreamCrash::atMs).summaryStatistics();
+        LongSummaryStatistics timesMs = candidate.crashes.stream()
+                .mapToLong(crash -> crashes.get(crash).atMs())
+                .summaryStatistics();
         long inThatTime = crashes.stream()
                 .filter(crash -> crash.atMs() >= timesMs.getMin() && crash.atMs() <= timesMs.getMax())
                 .count();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/PromptQuarantine.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/quarantine/PromptQuarantine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,11 @@
 
     private static final int MAX_CRASHES = 64;
 
-    private static final int MAX_PROVEN_PARTS = 4_096;
+    /** Maximum number of parts in the prompts of remembered crashes; the oldest crashes are forgotten beyond it. */
+    private static final int MAX_CRASH_PARTS = 250_000;
+
+    /** Some times the number of parts that the head of one request can carry. */
+    private static final int MAX_PROVEN_PARTS = 32_768;
 
     private final Map<UpstreamCrash.Incarnation, UpstreamCrash> crashes = new LinkedHashMap<>();
     private final Map<String, Long> provenMs = new LinkedHashMap<>();
@@ -56,12 +61,19 @@
             return false;
         }
         crashes.put(upstream, known == null ? new UpstreamCrash(upstream, nowMs, prompts) : known.withPrompts(prompts));
-        if (crashes.size() > MAX_CRASHES) {
+        while (crashes.size() > MAX_CRASHES || (crashes.size() > 1 && rememberedParts() > MAX_CRASH_PARTS)) {
             crashes.remove(crashes.keySet().iterator().next());
         }
         return true;
     }
 
+    private long rememberedParts() {
+        return crashes.values().stream()
+                .flatMap(crash -> crash.prompts().stream())
+                .mapToLong(List::size)
+                .sum();
+    }
+
     /**
      * Records a request that was answered completely by an upstream.
      *
@@ -137,7 +149,8 @@
     }
 
     private boolean isQuarantined(List<String> prompt) {
-        return quarantinedMs.keySet().stream().anyMatch(prompt::containsAll);
+        Set<String> parts = new HashSet<>(prompt);
+        return quarantinedMs.keySet().stream().anyMatch(parts::containsAll);
     }
 
     /**
@@ -151,8 +164,9 @@
         if (quarantinedMs.isEmpty() || prompt.isEmpty()) {
             return OptionalLong.empty();
         }
+        Set<String> parts = new HashSet<>(prompt);
         return quarantinedMs.entrySet().stream()
-                .filter(entry -> prompt.containsAll(entry.getKey()))
+                .filter(entry -> parts.containsAll(entry.getKey()))
                 .mapToLong(entry -> Math.max(0, entry.getValue() + MEMORY_MS - nowMs))
                 .max();
     }
