Take a response without framing and body for cut off

A response with neither length nor chunks whose connection ended right after its head could be delivered as a success with an empty body.

Change: ResponseEnd judges such a response as cut off. A body that is cut later, by an upstream that still listens, can't be told from a whole one.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -360,7 +360,7 @@
         EndedResponse.Events events = mode == ResponseMode.EVENTS
                 ? new EndedResponse.Events(true, parser.hasPartialEvent(), exchange.headSent(), advanced)
                 : EndedResponse.Events.NONE;
-        return new EndedResponse(framing, requestWritten, exchange.deadlineMs(), events);
+        return new EndedResponse(framing, requestWritten, receivedBytes > 0, exchange.deadlineMs(), events);
     }
 
     /** Ends the attempt when it is known whether its upstream still listens after the connection has ended. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -71,6 +71,7 @@
     private long drainGraceMs = 2_000;
     private long timeoutMs = 2_000;
     private int orderAttempts = 1;
+    private double retrySlack = 100;
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
@@ -119,6 +120,11 @@
         orderAttempts = newOrderAttempts;
     }
 
+    /** Sets the number of retries that all gateways together may make in 10 s in addition to their share. */
+    void setRetrySlack(double newRetrySlack) {
+        retrySlack = newRetrySlack;
+    }
+
     /** Sets the size of a request body up to which clients are served. */
     void setMaxBodyBytes(int newMaxBodyBytes) {
         maxBodyBytes = newMaxBodyBytes;
@@ -211,7 +217,7 @@
                 drainGraceMs,
                 0.2,
                 10_000,
-                100);
+                retrySlack);
         GatewayDialect dialect = new GatewayDialect(
                 NAMES,
                 new FakeDialect<>(
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
@@ -5,10 +5,12 @@
  *
  * @param framing how it says where it ends
  * @param requestWritten {@code false} if the request could not be written to the upstream
+ * @param hasBody whether at least one byte of its body was received
  * @param deadlineMs time at which the upstream stops working on the request, in milliseconds
  * @param events the events of an event stream, or {@link Events#NONE} for other bodies
  */
-public record EndedResponse(ResponseFraming framing, boolean requestWritten, long deadlineMs, Events events) {
+public record EndedResponse(
+        ResponseFraming framing, boolean requestWritten, boolean hasBody, long deadlineMs, Events events) {
 
     /**
      * Events of an event stream.
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -52,6 +52,9 @@
         if (!response.requestWritten()) {
             return new CutOff("the connection ended while the request was written");
         }
+        if (!response.hasBody()) {
+            return new CutOff("the connection ended before the first byte of the body");
+        }
         if (events.expected() && !events.advanced()) {
             return new CutOff("the connection ended before an event of the resumed stream");
         }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
@@ -56,13 +56,25 @@
                         "Unproven"),
                 Arguments.of(
                         "connection while the request was written",
-                        new EndedResponse(ResponseFraming.CONNECTION, false, DEADLINE_MS, EndedResponse.Events.NONE),
+                        new EndedResponse(
+                                ResponseFraming.CONNECTION, false, true, DEADLINE_MS, EndedResponse.Events.NONE),
                         1_000,
-                        "CutOff"));
+                        "CutOff"),
+                Arguments.of(
+                        "connection before the first byte of the body",
+                        new EndedResponse(
+                                ResponseFraming.CONNECTION, true, false, DEADLINE_MS, EndedResponse.Events.NONE),
+                        1_000,
+                        "CutOff"),
+                Arguments.of(
+                        "length of an empty body",
+                        new EndedResponse(ResponseFraming.LENGTH, true, false, DEADLINE_MS, EndedResponse.Events.NONE),
+                        1_000,
+                        "Complete"));
     }
 
     private static EndedResponse response(ResponseFraming framing, EndedResponse.Events events) {
-        return new EndedResponse(framing, true, DEADLINE_MS, events);
+        return new EndedResponse(framing, true, true, DEADLINE_MS, events);
     }
 
     @ParameterizedTest(name = "{0}")
