--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -79,6 +79,7 @@
     private long drainGraceMs = 2_000;
     private long timeoutMs = 2_000;
     private int orderAttempts = 1;
+    private double retrySlack = 100;
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
@@ -130,6 +131,11 @@
         orderAttempts = newOrderAttempts;
     }
 
+    /** Sets the number of retries that all gateways together may make in 10 s in addition to their share. */
+    void setRetrySlack(double newRetrySlack) {
+        retrySlack = newRetrySlack;
+    }
+
     /** Sets the size of a request body up to which clients are served. */
     void setMaxBodyBytes(int newMaxBodyBytes) {
         maxBodyBytes = newMaxBodyBytes;
@@ -271,7 +277,7 @@
                 drainGraceMs,
                 0.2,
                 10_000,
-                100);
+                retrySlack);
         ChangingDialect<UpstreamEntry> changing = new ChangingDialect<>(upstreams);
         upstreamDialect = changing;
         GatewayDialect dialect = new GatewayDialect(
