Give the tests of broken off responses a longer latency goal

A lookup without a response after the latency goal of the fixture, 100 ms, is cancelled and sent to the second upstream, whose script then breaks off the first response it writes, or answers whole. That this is the cause is concluded from the code and the three symptoms. The tests don't concern stalled lookups; their checks stay as they are, and the goal is 1.5 s there.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/BrokenOffResponseTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/BrokenOffResponseTest.java
@@ -19,6 +19,7 @@
 /** Guards against a response that one upstream breaks off and that is completed with the bytes of another. */
 class BrokenOffResponseTest {
 
+    private static final long LATENCY_GOAL_MS = 1_500;
     private static final int BODY_BYTES = 300_000;
     private static final int SMALL_BODY_BYTES = 100_000;
     private static final int EVENTS = 25;
@@ -32,6 +33,8 @@
 
     BrokenOffResponseTest() throws IOException {
         fixture = new GatewayFixture();
+        // A lookup that a slow machine delays would otherwise be sent to the second upstream before it is broken off.
+        fixture.setLatencyGoalMs(LATENCY_GOAL_MS);
     }
 
     @AfterEach
