Verify the end of a response whose head has no headers

A response of which the upstream wrote only the status line and the empty line was reported to the entry as complete, without a head and with an empty body.

Cause: the HTTP client doesn't report empty headers, so the framing was never examined and the response counted as delimited.

Change: an empty head is reported before the first byte of the body or the end, and a response counts as delimited only when its head says so.

CutResponseTest cuts responses with a length, in chunks, with neither, with a status line only, after an informational response and followed by a second one at every byte, ended by FIN, by FIN after a pause and by RST.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.agent;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.IOException;
@@ -24,7 +25,8 @@
     private int status;
     private long declaredLength = LENGTH_NOT_DECLARED;
     private long receivedLength;
-    private boolean delimited = true;
+    private boolean headReceived;
+    private boolean delimited;
     private boolean ended;
 
     UpstreamHandler(UpstreamListener listener) {
@@ -59,6 +61,7 @@
         if (ended) {
             return State.ABORT;
         }
+        headReceived = true;
         String contentLength = headers.get(HttpHeaderNames.CONTENT_LENGTH);
         declaredLength = contentLength == null ? LENGTH_NOT_DECLARED : Long.parseLong(contentLength.strip());
         boolean chunked = headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true);
@@ -75,6 +78,7 @@
         if (ended) {
             return State.ABORT;
         }
+        receiveEmptyHead();
         byte[] data = part.getBodyPartBytes();
         if (data.length > 0) {
             receivedLength += data.length;
@@ -89,6 +93,7 @@
         if (ended) {
             return false;
         }
+        receiveEmptyHead();
         ended = true;
         if (!delimited) {
             listener.onFailure(new IOException(
@@ -101,6 +106,13 @@
         return true;
     }
 
+    /** Reports a head without any headers, for which the client does not call {@link #onHeadersReceived}. */
+    private void receiveEmptyHead() {
+        if (!headReceived) {
+            onHeadersReceived(EmptyHttpHeaders.INSTANCE);
+        }
+    }
+
     @Override
     public void onThrowable(Throwable failure) {
         if (!ended) {
