Wait for the final response after an informational one

A call to the store or an engine took an informational response for its reply. The final response was then left on the connection, where it could be taken for the reply to the next call, for example that of an order.

Change: SerialHttpConnection skips informational responses; the timeout of the call bounds them.

CutReplyTest cuts replies with a length, in chunks, without both (head only) and after an informational response at every byte, ended by FIN, by FIN after a pause and by RST.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -192,6 +193,10 @@
                 finish(call, new HttpReply.Lost("malformed response"), true);
                 return;
             }
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                // The final response follows; taken for the reply, it would leave that one to the next call.
+                return;
+            }
             byte[] body = new byte[response.content().readableBytes()];
             response.content().readBytes(body);
             finish(call, new HttpReply.Response(response.status().code(), body), !HttpUtil.isKeepAlive(response));
