--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ClientConnectionTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ClientConnectionTest.java
@@ -51,8 +51,12 @@
     }
 
     private ClientConnection answeredConnection(PausedChannel channel) throws Exception {
+        Gateway gateway = fixture.create();
         ClientConnection connection = new ClientConnection(
-                fixture.create(), channel, new ClientLimits(8_192, 10_000, 1_000, (int) IDLE_TIMEOUT_MS));
+                gateway,
+                channel,
+                new ClientLimits(8_192, 10_000, 1_000, (int) IDLE_TIMEOUT_MS),
+                HeldMemory.ofProcess(gateway.metrics(), gateway.log()));
         channel.pipeline().addLast(connection);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
         request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
