Bound the informational responses to a call of the store or an engine

Cause: since informational responses are skipped, a server that sends them without end was read until the call timed out. Change: a call fails after 16 of them, as a request to an upstream does.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
@@ -46,6 +46,9 @@
      */
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
+    /** Maximum number of informational responses to a call; a server in trouble may send them without end. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
     private final EventLoop eventLoop;
     private final InetSocketAddress address;
     private @Nullable Channel channel;
@@ -171,6 +174,7 @@
         private final byte[] body;
         private final Consumer<HttpReply> onReply;
         private @Nullable ScheduledFuture<?> timer;
+        private int informationalResponses;
 
         private Call(HttpMethod method, String target, byte[] body, Consumer<HttpReply> onReply) {
             this.method = method;
@@ -195,6 +199,10 @@
             }
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 // The final response follows; taken for the reply, it would leave that one to the next call.
+                call.informationalResponses++;
+                if (call.informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+                    finish(call, new HttpReply.Lost("informational responses without end"), true);
+                }
                 return;
             }
             byte[] body = new byte[response.content().readableBytes()];
