Probe at once after a request in progress was lost

Cause: every probe came 10 ms after the end of a connection, so a crash was known later, and the next requests with the fatal prompt part were sent before it was judged.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -253,9 +253,9 @@
     }
 
     /** Opens a connection to an upstream without a request, to find out whether it listens. */
-    void probe(Upstream upstream, Consumer<ProbeResult> onResult) {
+    void probe(Upstream upstream, long delayMs, Consumer<ProbeResult> onResult) {
         metrics.count("upstream_connections_opened");
-        UpstreamConnector.probe(eventLoop, clock, names().requestId(), upstream, onResult);
+        UpstreamConnector.probe(eventLoop, clock, names().requestId(), upstream, delayMs, onResult);
     }
 
     QuarantineStore quarantineStore() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
@@ -19,12 +19,6 @@
     /** Timeout of connecting. Upstreams are at most a few milliseconds away, and a VM that is down never responds. */
     private static final int CONNECT_TIMEOUT_MS = 250;
 
-    /**
-     * Time until a probe. A process that ends closes its sockets one after the other, and the listening one may still
-     * be open when the end of a connection arrives.
-     */
-    private static final long PROBE_DELAY_MS = 10;
-
     private UpstreamConnector() {}
 
     /** Opens a connection for an attempt, and fails the attempt if the connection can't be opened. */
@@ -47,12 +41,15 @@
 
     /**
      * Opens a connection without a request, to find out whether the upstream listens. It is kept for later requests.
+     *
+     * @param delayMs time until the connection is opened, in milliseconds
      */
     static void probe(
             EventLoop eventLoop,
             Clock clock,
             String requestIdHeader,
             Upstream upstream,
+            long delayMs,
             Consumer<ProbeResult> onResult) {
         UpstreamConnection connection = new UpstreamConnection(upstream, clock, requestIdHeader);
         ChannelFutureListener onOpened = future -> {
@@ -62,9 +59,7 @@
             onResult.accept(ProbeResult.of(future.cause()));
         };
         eventLoop.schedule(
-                () -> open(eventLoop, upstream, connection).addListener(onOpened),
-                PROBE_DELAY_MS,
-                TimeUnit.MILLISECONDS);
+                () -> open(eventLoop, upstream, connection).addListener(onOpened), delayMs, TimeUnit.MILLISECONDS);
     }
 
     private static ChannelFuture open(EventLoop eventLoop, Upstream upstream, UpstreamConnection connection) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -17,10 +16,22 @@
  */
 final class UpstreamCrashDetector {
 
-    private final BiConsumer<Upstream, Consumer<ProbeResult>> probe;
+    /**
+     * Delay of a probe for a response that ended with its connection. A process that ends closes its sockets one after
+     * the other, and the listening one may still be open when the end of a connection arrives.
+     */
+    private static final long END_PROBE_DELAY_MS = 10;
+
+    private final Prober prober;
     private final Listener listener;
     private final Map<Upstream, Probe> probes = new HashMap<>();
 
+    /** Opens a connection to an upstream after a delay, and reports whether it listens. */
+    interface Prober {
+
+        void probe(Upstream upstream, long delayMs, Consumer<ProbeResult> onResult);
+    }
+
     /** Receives what the detector finds out. */
     interface Listener {
 
@@ -54,8 +65,8 @@
      */
     private record Probe(Suspicion before, Suspicion meanwhile) {}
 
-    UpstreamCrashDetector(BiConsumer<Upstream, Consumer<ProbeResult>> probe, Listener listener) {
-        this.probe = probe;
+    UpstreamCrashDetector(Prober prober, Listener listener) {
+        this.prober = prober;
         this.listener = listener;
     }
 
@@ -64,7 +75,7 @@
         if (!promptParts.isEmpty() && upstream.crashed()) {
             listener.onCrash(upstream, List.of(promptParts));
         } else if (!promptParts.isEmpty()) {
-            suspect(upstream).lost.add(promptParts);
+            suspect(upstream, 0).lost.add(promptParts);
         }
     }
 
@@ -74,22 +85,22 @@
      * @param onProbed receives whether the upstream still listens
      */
     void onEndedWithConnection(Upstream upstream, List<String> promptParts, Consumer<ProbeResult> onProbed) {
-        suspect(upstream).ended.add(new Ended(promptParts, onProbed));
+        suspect(upstream, END_PROBE_DELAY_MS).ended.add(new Ended(promptParts, onProbed));
     }
 
-    private Suspicion suspect(Upstream upstream) {
+    private Suspicion suspect(Upstream upstream, long delayMs) {
         Probe known = probes.get(upstream);
         if (known != null) {
             return known.meanwhile;
         }
         Suspicion created = new Suspicion();
-        probe(upstream, created);
+        probe(upstream, created, delayMs);
         return created;
     }
 
-    private void probe(Upstream upstream, Suspicion suspicion) {
+    private void probe(Upstream upstream, Suspicion suspicion, long delayMs) {
         probes.put(upstream, new Probe(suspicion, new Suspicion()));
-        probe.accept(upstream, result -> onProbed(upstream, result));
+        prober.probe(upstream, delayMs, result -> onProbed(upstream, result));
     }
 
     private void onProbed(Upstream upstream, ProbeResult result) {
@@ -112,7 +123,7 @@
             }
             probed.meanwhile.ended.forEach(ended -> ended.onProbed.accept(result));
         } else if (!probed.meanwhile.isEmpty()) {
-            probe(upstream, probed.meanwhile);
+            probe(upstream, probed.meanwhile, probed.meanwhile.ended.isEmpty() ? 0 : END_PROBE_DELAY_MS);
         }
         probed.before.ended.forEach(ended -> ended.onProbed.accept(result));
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
@@ -402,7 +402,7 @@
         List<Consumer<ProbeResult>> probes = new ArrayList<>();
         List<ProbeResult> second = new ArrayList<>();
         UpstreamCrashDetector detector =
-                new UpstreamCrashDetector((probed, result) -> probes.add(result), (crashed, prompts) -> {});
+                new UpstreamCrashDetector((probed, delayMs, result) -> probes.add(result), (crashed, prompts) -> {});
         detector.onEndedWithConnection(upstream, List.of("a"), result -> {});
         detector.onEndedWithConnection(upstream, List.of("b"), second::add);
 
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -19,7 +19,7 @@
     private final List<List<List<String>>> crashes = new ArrayList<>();
     private final List<ProbeResult> ended = new ArrayList<>();
     private final UpstreamCrashDetector detector = new UpstreamCrashDetector(
-            (probed, result) -> probes.add(result), (crashed, prompts) -> crashes.add(prompts));
+            (probed, delayMs, result) -> probes.add(result), (crashed, prompts) -> crashes.add(prompts));
 
     @Test
     void reportsAllRequestsLostWithACrashAfterOneProbe() {
