Correct the description of what a probe after the end of a connection decides

Since errors without framing are judged too, the response need not be a success. Only a comment changes; formatter and linter of the module ran.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -80,7 +80,7 @@
     }
 
     /**
-     * Finds out whether a successful response is complete whose end is that of its connection.
+     * Finds out whether a response is complete whose end is that of its connection.
      *
      * @param onProbed receives whether the upstream still listens
      */
