Count and log how complete responses ended

A client can have got a success that no log line tells of: lines of an event beyond 100 a second are left out. Counters now tell how complete responses ended and how attempts failed, a response that ended with its connection has a line of its own with the evidence, skipped responses are logged with status and seal, and a malformed head with its cause. No decision changes.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -170,8 +170,8 @@
         detached = true;
     }
 
-    void onMismatchedResponse(String responseId) {
-        dispatcher.onMismatchedResponse(this, responseId);
+    void onMismatchedResponse(String responseId, HttpResponse response) {
+        dispatcher.onMismatchedResponse(this, responseId, response);
     }
 
     void onHead(HttpResponse response, ResponseFraming responseFraming) {
@@ -406,6 +406,7 @@
     private void complete(String evidence) {
         HttpResponse response = head;
         end();
+        dispatcher.onComplete(this, evidence);
         exchange.forwarded().onComplete(evidence);
         if (mode == ResponseMode.BUFFERED && response != null) {
             BufferedResponse bufferedResponse = new BufferedResponse(response, buffered.toByteArray());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.RequestQueue;
+import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RetryPolicy;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -261,15 +262,36 @@
         notices.read(upstream, response);
     }
 
-    void onMismatchedResponse(Attempt attempt, String responseId) {
+    void onMismatchedResponse(Attempt attempt, String responseId, HttpResponse response) {
+        gateway.metrics().count("responses_skipped");
         gateway.log()
                 .event("skipped response to another request")
                 .field("request", attempt.requestId())
                 .field("upstream", attempt.upstream().entry().id())
                 .field("answerTo", responseId)
+                .field("status", response.status().code())
+                .field("seal", response.headers().get(names().seal(), ""))
                 .write();
     }
 
+    /** Counts why a response was taken for complete, and logs it if the response itself doesn't say where it ends. */
+    void onComplete(Attempt attempt, String evidence) {
+        ResponseSummary response = attempt.summary();
+        gateway.metrics().count("responses_complete_" + response.framing());
+        if (response.framing().equals(ResponseFraming.CONNECTION.toString())) {
+            gateway.log()
+                    .event("response ended with its connection")
+                    .field("request", attempt.requestId())
+                    .field("upstream", attempt.upstream().entry().id())
+                    .field("evidence", evidence)
+                    .field("status", response.status())
+                    .field("seal", response.seal())
+                    .field("events", response.events())
+                    .field("bytes", response.bytes())
+                    .write();
+        }
+    }
+
     void onSlotReleased() {
         statistics.onSlotReleased(nowMs());
         gateway.execute(this::dispatch);
@@ -332,6 +354,7 @@
         outcomeRecorder.record(attempt, outcome, nowMs);
         boolean retry = mayRetry(exchange, outcome, nowMs);
         ResponseSummary response = attempt.summary();
+        gateway.metrics().count("attempts_failed_" + outcome.getClass().getSimpleName());
         gateway.log()
                 .event("attempt failed")
                 .field("request", exchange.requestId())
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -137,7 +137,7 @@
             return;
         }
         if (response.decoderResult().isFailure()) {
-            fail("malformed response head");
+            fail("malformed response head: " + response.decoderResult().cause());
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -151,7 +151,7 @@
         String id = response.headers().get(requestIdHeader);
         skipping = id != null && !id.equals(current.requestId());
         if (skipping) {
-            current.onMismatchedResponse(id);
+            current.onMismatchedResponse(id, response);
             return;
         }
         if (id == null && reused) {
