--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -3,12 +3,14 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -382,6 +384,18 @@
         }
     }
 
+    /** Sends a request and returns all bytes of the response, up to the end or the reset of the connection. */
+    byte[] received(String raw) throws IOException {
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        try (Socket socket = open()) {
+            socket.getOutputStream().write(raw.getBytes(StandardCharsets.UTF_8));
+            socket.getInputStream().transferTo(received);
+        } catch (SocketException reset) {
+            // A reset also tells the caller that the response is incomplete.
+        }
+        return received.toByteArray();
+    }
+
     /** Opens a client connection whose reads time out after 5 s. */
     Socket open() throws IOException {
         Socket socket = new Socket(host, port);
