Believe only responses of the protocol to the request itself

Callers got successes that their upstreams had not given: the reader of responses took a status from lines that are no status line, passed over responses with an unknown or empty request id and believed what followed, and accepted unknown transfer codings, encoded bodies, an empty seal, two seals, two ids and a success without an id. A switch of protocols was waited for until the deadline.

HeadVerdict decides from the head alone, without a network, whether a response answers the request; everything that isn't shown to is improper, ends the attempt and closes the connection. A response with another id is passed over only if the connection has carried that request. Bytes that begin a response between two requests close the connection, too.

GatewayTest and CutResponseTest passed over a response with an id that nobody had sent; they now use the id of an earlier request of the connection, which is the case that the protocol knows, and the other one is in ImproperResponseTest.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -228,7 +228,7 @@
     /** Opens a connection to an upstream for an attempt. */
     void connect(Upstream upstream, Attempt attempt, BiConsumer<Attempt, UpstreamConnection> onOpen) {
         metrics.count("upstream_connections_opened");
-        UpstreamConnector.connect(eventLoop, clock, names().requestId(), upstream, attempt, onOpen);
+        UpstreamConnector.connect(eventLoop, clock, names(), upstream, attempt, onOpen);
     }
 
     /** Schedules a task on the event loop, to run after the current one. */
@@ -255,7 +255,7 @@
     /** Opens a connection to an upstream without a request, to find out whether it listens. */
     void probe(Upstream upstream, long delayMs, Consumer<ProbeResult> onResult) {
         metrics.count("upstream_connections_opened");
-        UpstreamConnector.probe(eventLoop, clock, names().requestId(), upstream, delayMs, onResult);
+        UpstreamConnector.probe(eventLoop, clock, names(), upstream, delayMs, onResult);
     }
 
     QuarantineStore quarantineStore() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -8,19 +8,19 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.gateway.ExpectedResponse;
+import org.kingcuproad.policy.gateway.HeadVerdict;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 
 /**
  * A connection to an upstream, with at most one request in progress.
  *
- * <p>An upstream may send the response to an earlier request late, in place of the next response. Such a response is
- * recognised by its request id and skipped. Bytes that arrive while no request is in progress, also those that follow a
+ * <p>An upstream may send a second response to an earlier request late, in place of the next response. It is recognised
+ * by the id of that request and skipped. Bytes that arrive while no request is in progress, also those that follow a
  * response in the same read, cause the connection to be closed.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
@@ -42,11 +42,12 @@
 
     private final Upstream upstream;
     private final Clock clock;
-    private final String requestIdHeader;
+    private final HeaderNames names;
+    private final UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(this::bodiless);
+    private final CarriedRequests carried = new CarriedRequests();
     private @Nullable Channel channel;
     private @Nullable Attempt attempt;
     private @Nullable ChannelFuture requestWrite;
-    private boolean reused;
     private boolean skipping;
     private boolean closeAfterResponse;
     private boolean responseRead;
@@ -55,14 +56,15 @@
     private long idleSinceMs;
     private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
 
-    UpstreamConnection(Upstream upstream, Clock clock, String requestIdHeader) {
+    UpstreamConnection(Upstream upstream, Clock clock, HeaderNames names) {
         this.upstream = upstream;
         this.clock = clock;
-        this.requestIdHeader = requestIdHeader;
+        this.names = names;
     }
 
-    boolean reused() {
-        return reused;
+    /** Returns the decoder that comes before this handler. */
+    UpstreamResponseDecoder decoder() {
+        return decoder;
     }
 
     long idleSinceMs() {
@@ -140,40 +142,34 @@
             fail("malformed response head: " + response.decoderResult().cause());
             return;
         }
-        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            skipping = true;
-            informationalResponses++;
-            if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
-                fail("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses");
+        switch (HeadVerdict.of(ResponseHeads.of(response, names), expectedResponse(current))) {
+            case HeadVerdict.Answer answer -> {
+                readConnectionHeaders(response, answer.framing());
+                current.onHead(response, answer.framing());
             }
-            return;
-        }
-        String id = response.headers().get(requestIdHeader);
-        skipping = id != null && !id.equals(current.requestId());
-        if (skipping) {
-            current.onMismatchedResponse(id, response);
-            return;
-        }
-        if (id == null && reused) {
-            fail("response without a request id on a reused connection");
-            return;
+            case HeadVerdict.Informational informational -> {
+                skipping = true;
+                informationalResponses++;
+                if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
+                    fail("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses");
+                }
+            }
+            case HeadVerdict.LateCopy copy -> {
+                skipping = true;
+                current.onMismatchedResponse(copy.requestId(), response);
+            }
+            case HeadVerdict.Improper improper -> fail(improper.reason());
         }
-        ResponseFraming framing = framing(response, current.exchange().head().method());
-        readConnectionHeaders(response, framing);
-        current.onHead(response, framing);
     }
 
-    private static ResponseFraming framing(HttpResponse response, HttpMethod method) {
-        boolean empty = method.equals(HttpMethod.HEAD)
-                || response.status().equals(HttpResponseStatus.NO_CONTENT)
-                || response.status().equals(HttpResponseStatus.NOT_MODIFIED);
-        if (empty) {
-            return ResponseFraming.NO_BODY;
-        }
-        if (HttpUtil.isTransferEncodingChunked(response)) {
-            return ResponseFraming.CHUNKS;
-        }
-        return HttpUtil.isContentLengthSet(response) ? ResponseFraming.LENGTH : ResponseFraming.CONNECTION;
+    private ExpectedResponse expectedResponse(Attempt current) {
+        return new ExpectedResponse(current.requestId(), bodiless(), carried.ids());
+    }
+
+    /** Returns whether responses to the request in progress have no body. */
+    private boolean bodiless() {
+        Attempt current = attempt;
+        return current != null && current.exchange().head().method().equals(HttpMethod.HEAD);
     }
 
     private void readConnectionHeaders(HttpResponse response, ResponseFraming framing) {
@@ -213,6 +209,7 @@
         if (content instanceof LastHttpContent && attempt == current) {
             attempt = null;
             responseRead = true;
+            carried.add(current.requestId());
             current.onEnd(!requestFailed());
         }
     }
@@ -235,7 +232,10 @@
     /** Returns the connection to the pool when all bytes that arrived with the end of the response have been seen. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (responseRead) {
+        if (attempt == null && !decoder.betweenResponses()) {
+            responseRead = false;
+            close();
+        } else if (responseRead) {
             responseRead = false;
             returnToPool();
         }
@@ -250,7 +250,6 @@
             close();
             return;
         }
-        reused = true;
         idleSinceMs = clock.steadyMs();
         current.config().setAutoRead(true);
         upstream.addIdleConnection(this);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
@@ -8,7 +8,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -25,11 +25,11 @@
     static void connect(
             EventLoop eventLoop,
             Clock clock,
-            String requestIdHeader,
+            HeaderNames names,
             Upstream upstream,
             Attempt attempt,
             BiConsumer<Attempt, UpstreamConnection> onOpen) {
-        UpstreamConnection connection = new UpstreamConnection(upstream, clock, requestIdHeader);
+        UpstreamConnection connection = new UpstreamConnection(upstream, clock, names);
         open(eventLoop, upstream, connection).addListener((ChannelFutureListener) future -> {
             if (future.isSuccess()) {
                 onOpen.accept(attempt, connection);
@@ -47,11 +47,11 @@
     static void probe(
             EventLoop eventLoop,
             Clock clock,
-            String requestIdHeader,
+            HeaderNames names,
             Upstream upstream,
             long delayMs,
             Consumer<ProbeResult> onResult) {
-        UpstreamConnection connection = new UpstreamConnection(upstream, clock, requestIdHeader);
+        UpstreamConnection connection = new UpstreamConnection(upstream, clock, names);
         ChannelFutureListener onOpened = future -> {
             if (future.isSuccess()) {
                 connection.makeAvailable();
@@ -72,7 +72,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), connection);
+                        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
                     }
                 })
                 .connect(upstream.entry().host(), upstream.entry().port());
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutReplyTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutReplyTest.java
@@ -50,7 +50,8 @@
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         try {
             for (int cut : IntStream.rangeClosed(0, text.length()).toArray()) {
-                try (CutUpstream server = new CutUpstream(1, request -> new Part(text.substring(0, cut), end, true))) {
+                try (CutUpstream server =
+                        new CutUpstream(1, (request, earlierId) -> new Part(text.substring(0, cut), end, true))) {
                     if (reply(loops, server.ports().getFirst()) instanceof HttpReply.Response response) {
                         assertThat(new String(response.body(), StandardCharsets.UTF_8))
                                 .as(
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutResponseTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutResponseTest.java
@@ -31,7 +31,7 @@
     private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
     private static final int CLIENTS = 8;
     private static final double RETRY_SLACK = 1_000_000;
-    private static final int MAX_REPEATS = 40;
+    private static final int MAX_REPEATS = 400;
     private static final long REPEAT_DELAY_MS = 50;
 
     /** What an upstream writes. Of a response without a length or chunks only its head can be told to be cut. */
@@ -120,7 +120,7 @@
     }
 
     /** Returns the text of which a part is written. */
-    private static String text(Shape shape, RouteKind kind, String id, int firstEvent) {
+    private static String text(Shape shape, RouteKind kind, String id, String earlierId, int firstEvent) {
         String body = body(kind, firstEvent);
         return switch (shape) {
             case LENGTH -> withLength(kind, id, body);
@@ -128,7 +128,7 @@
             case CONNECTION -> STATUS_LINE + fields(kind, id) + "\r\n";
             case STATUS_LINE_ONLY -> STATUS_LINE + "\r\n";
             case AFTER_INFORMATIONAL -> "HTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n" + inChunks(kind, id, body);
-            case AFTER_OTHER_RESPONSE -> withLength(kind, "0", body) + inChunks(kind, id, body);
+            case AFTER_OTHER_RESPONSE -> withLength(kind, earlierId, body) + inChunks(kind, id, body);
             case REPEATED -> withLength(kind, id, body) + withLength(kind, id, body);
         };
     }
@@ -147,14 +147,18 @@
         return Integer.parseInt(FakeUpstream.header(request, "X-Request").split("-", 2)[0]);
     }
 
-    private static Part part(Shape shape, End end, RouteKind kind, boolean resumed, String request) {
+    private static Part part(Shape shape, End end, RouteKind kind, boolean resumed, String request, String earlierId) {
         String id = FakeUpstream.header(request, "X-Request");
         if (resumed && FakeUpstream.header(request, "Last-Event-Id").isEmpty()) {
             String head = STATUS_LINE + fields(kind, id) + "Transfer-Encoding: chunked\r\n\r\n";
             String first = event(1);
             return new Part(head + Integer.toHexString(first.length()) + "\r\n" + first + "\r\n", End.RESET, false);
         }
-        String text = text(shape, kind, id, resumed ? 2 : 1);
+        int firstEvent = resumed ? 2 : 1;
+        if (shape == Shape.AFTER_OTHER_RESPONSE && earlierId.isEmpty()) {
+            return Part.whole(withLength(kind, id, body(kind, firstEvent)));
+        }
+        String text = text(shape, kind, id, earlierId, firstEvent);
         return new Part(text.substring(0, cutOf(request)), end, true);
     }
 
@@ -191,9 +195,10 @@
     @ParameterizedTest(name = "{0}, {1}, {2}, resumed {3}")
     @MethodSource("cuts")
     void neverTakesACutResponseForAWholeOne(Shape shape, End end, RouteKind kind, boolean resumed) throws Exception {
-        int length = text(shape, kind, "000-00", resumed ? 2 : 1).length();
+        int length = text(shape, kind, "000-00", "000-00", resumed ? 2 : 1).length();
         // An upstream that fails twice in a row gets no requests for a while.
-        CutUpstream upstream = new CutUpstream(length, request -> part(shape, end, kind, resumed, request));
+        CutUpstream upstream =
+                new CutUpstream(length, (request, earlierId) -> part(shape, end, kind, resumed, request, earlierId));
         upstream.ports().forEach(port -> fixture.addEntry("127.0.0.1", port));
         fixture.setRetrySlack(RETRY_SLACK);
         fixture.start();
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutUpstream.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.function.Function;
 
 /** Upstreams that write a part of each response and then end the connection. */
 final class CutUpstream implements AutoCloseable {
@@ -31,14 +30,36 @@
      * @param text the bytes
      * @param end how the connection ends
      * @param underTest whether the response is one of those that are counted
+     * @param kept whether the connection stays open for another request instead of ending
      */
-    record Part(String text, End end, boolean underTest) {}
+    record Part(String text, End end, boolean underTest, boolean kept) {
+
+        Part(String text, End end, boolean underTest) {
+            this(text, end, underTest, false);
+        }
+
+        /** Creates a whole response after which the connection can be used again. */
+        static Part whole(String text) {
+            return new Part(text, End.CLOSED, false, true);
+        }
+    }
+
+    /** Decides what an upstream writes. */
+    interface Script {
+
+        /**
+         * Returns the response to a request.
+         *
+         * @param earlierId id of the request before on the same connection, or empty
+         */
+        Part respond(String request, String earlierId);
+    }
 
     private final List<ServerSocket> sockets = new ArrayList<>();
-    private final Function<String, Part> script;
+    private final Script script;
     private final Set<String> cutRequests = ConcurrentHashMap.newKeySet();
 
-    CutUpstream(int count, Function<String, Part> script) throws IOException {
+    CutUpstream(int count, Script script) throws IOException {
         this.script = script;
         for (int index = 0; index < count; index++) {
             ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -74,16 +95,21 @@
     private void serve(Socket accepted) {
         try (accepted) {
             accepted.setTcpNoDelay(true);
-            String request = FakeUpstream.read(accepted.getInputStream());
-            if (request.isEmpty()) {
-                return;
-            }
-            Part part = script.apply(request);
-            OutputStream stream = accepted.getOutputStream();
-            stream.write(part.text.getBytes(StandardCharsets.UTF_8));
-            if (part.underTest) {
-                cutRequests.add(FakeUpstream.header(request, "X-Request"));
-            }
+            String earlierId = "";
+            Part part;
+            do {
+                String request = FakeUpstream.read(accepted.getInputStream());
+                if (request.isEmpty()) {
+                    return;
+                }
+                part = script.respond(request, earlierId);
+                OutputStream stream = accepted.getOutputStream();
+                stream.write(part.text.getBytes(StandardCharsets.UTF_8));
+                earlierId = FakeUpstream.header(request, "X-Request");
+                if (part.underTest) {
+                    cutRequests.add(earlierId);
+                }
+            } while (part.kept);
             if (part.end != End.CLOSED) {
                 Thread.sleep(PAUSE_MS);
             }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
@@ -173,15 +173,18 @@
     }
 
     @Test
-    void skipsTheResponseToAnotherRequest() throws Exception {
-        fixture.upstream(request -> new FakeUpstream.Reply(
-                FakeUpstream.response("older", 200, GatewayFixture.SEAL, "somebody else's")
-                        + FakeUpstream.response(
-                                FakeUpstream.header(request, "X-Request"), 200, GatewayFixture.SEAL, "own"),
-                false));
+    void skipsASecondResponseToAnEarlierRequest() throws Exception {
+        FakeUpstream upstream = fixture.upstream(request -> {
+            String id = FakeUpstream.header(request, "X-Request");
+            String copy = FakeUpstream.response("r1", 200, GatewayFixture.SEAL, "somebody else's");
+            String own = FakeUpstream.response(id, 200, GatewayFixture.SEAL, "own");
+            return new FakeUpstream.Reply(id.equals("r1") ? own : copy + own, false);
+        });
         fixture.start();
 
         assertThat(fixture.get("/IDEMPOTENT/a", "k1", "r1").body()).isEqualTo("own");
+        assertThat(fixture.get("/IDEMPOTENT/a", "k1", "r2").body()).isEqualTo("own");
+        assertThat(upstream.connections()).isEqualTo(1);
     }
 
     @Test
--- /dev/null
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -0,0 +1,118 @@
+package org.kingcuproad.policy.gateway;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/**
+ * Decides whether the head of a response answers the request in progress on its connection.
+ *
+ * <p>This answers the load of upstreams in trouble that send bytes that are no response, two responses, or one late. A
+ * response answers the request only if it is one of the protocol and says so itself; everything else is improper.
+ */
+public sealed interface HeadVerdict {
+
+    /**
+     * The head answers the request.
+     *
+     * @param framing how it says where its body ends
+     */
+    record Answer(ResponseFraming framing) implements HeadVerdict {}
+
+    /** The final response is still to come. */
+    record Informational() implements HeadVerdict {}
+
+    /**
+     * A second response to an earlier request of the connection, which is passed over.
+     *
+     * @param requestId id of that request
+     */
+    record LateCopy(String requestId) implements HeadVerdict {}
+
+    /**
+     * No response of the protocol to the request. What else comes on the connection can't be trusted either.
+     *
+     * @param reason what is wrong with it
+     */
+    record Improper(String reason) implements HeadVerdict {}
+
+    /** Status 101: the gateway asks for no other protocol. */
+    int SWITCHING_PROTOCOLS = 101;
+
+    /** First status of a final response. */
+    int FIRST_FINAL_STATUS = 200;
+
+    /** Statuses of responses without a body: 204 and 304. */
+    Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 304);
+
+    /**
+     * Decides about a head.
+     *
+     * @param head the head
+     * @param request the request in progress
+     * @return whether it answers the request
+     */
+    static HeadVerdict of(ResponseHead head, ExpectedResponse request) {
+        if (head.status() < FIRST_FINAL_STATUS) {
+            return head.status() == SWITCHING_PROTOCOLS
+                    ? new Improper("switch to a protocol that nobody asked for")
+                    : new Informational();
+        }
+        if (!hasKnownFraming(head)) {
+            return new Improper("framing that the protocol doesn't have");
+        }
+        if (!isPlain(head.contentCodings())) {
+            return new Improper("encoded body");
+        }
+        if (head.requestIds().size() > 1 || head.seals().size() > 1) {
+            return new Improper("more than one request id or seal");
+        }
+        return head.requestIds().isEmpty()
+                ? withoutId(head, request)
+                : withId(head, head.requestIds().getFirst(), request);
+    }
+
+    private static boolean hasKnownFraming(ResponseHead head) {
+        List<String> codings = head.transferCodings();
+        return codings.isEmpty()
+                || (codings.size() == 1
+                        && codings.getFirst().strip().equalsIgnoreCase("chunked")
+                        && head.lengths().isEmpty());
+    }
+
+    private static boolean isPlain(List<String> contentCodings) {
+        return contentCodings.stream()
+                .map(String::strip)
+                .allMatch(((Predicate<String>) String::isEmpty).or("identity"::equalsIgnoreCase));
+    }
+
+    /** An upstream may reject a request without having read its id, which can only be the first of a connection. */
+    private static HeadVerdict withoutId(ResponseHead head, ExpectedResponse request) {
+        if (!request.earlierIds().isEmpty()) {
+            return new Improper("response without a request id on a reused connection");
+        }
+        return head.success() ? new Improper("successful response without a request id") : answer(head, request);
+    }
+
+    private static HeadVerdict withId(ResponseHead head, String id, ExpectedResponse request) {
+        if (id.equals(request.requestId())) {
+            boolean sealed = head.seals().stream().anyMatch(seal -> !seal.isBlank());
+            return head.success() && !sealed
+                    ? new Improper("successful response without a seal")
+                    : answer(head, request);
+        }
+        return request.earlierIds().contains(id)
+                ? new LateCopy(id)
+                : new Improper("response to a request that was not sent on the connection");
+    }
+
+    private static HeadVerdict answer(ResponseHead head, ExpectedResponse request) {
+        if (request.bodiless() || STATUSES_WITHOUT_BODY.contains(head.status())) {
+            return new Answer(ResponseFraming.NO_BODY);
+        }
+        if (!head.transferCodings().isEmpty()) {
+            return new Answer(ResponseFraming.CHUNKS);
+        }
+        return new Answer(head.lengths().isEmpty() ? ResponseFraming.CONNECTION : ResponseFraming.LENGTH);
+    }
+}
