Take no response for whole without evidence

Callers got parts as successes: a response without length and chunks ends with its connection, and an orderly end also comes from an upstream that is killed or cuts the response off, and from proxies that turn a reset into one. What decided was a TCP connect after the end, which anybody can answer, and whose failure counted as whole, too.

ResponseEnd now needs evidence: a length, chunks, a JSON text that shows its own end, a stream that two upstreams (or the same one, asked again) ended after the same event, or a service that has never stated the end of any response, which is then probed as before. Failures are judged by the same rule.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -12,6 +12,7 @@
 import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.EventStreamParser;
+import org.kingcuproad.policy.gateway.JsonDocument;
 import org.kingcuproad.policy.gateway.ResponseEnd;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -72,6 +73,7 @@
     private boolean readingPaused;
     private boolean advanced;
     private boolean confirming;
+    private boolean usualEnd;
     private boolean endProven;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
@@ -178,14 +180,14 @@
         head = response;
         framing = responseFraming;
         dispatcher.onNotices(upstream, response);
+        if (succeeded()) {
+            dispatcher.framingHabit().onResponse(responseFraming);
+        }
         HttpResponseStatus status = response.status();
         boolean notExecuted = response.headers().contains(dispatcher.names().notExecuted());
         if (notExecuted || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
             discardOutcome = new AttemptOutcome.NotRun(
                     "status " + status.code(), status.equals(HttpResponseStatus.MISDIRECTED_REQUEST));
-        } else if (status.codeClass() == HttpStatusClass.SUCCESS
-                && !response.headers().contains(dispatcher.names().seal())) {
-            discardOutcome = new AttemptOutcome.Lost("successful response without a seal");
         } else if (exchange.headSent() && !isEventStream(response)) {
             discardOutcome =
                     new AttemptOutcome.Lost("status " + status.code() + " and no events when resuming the stream");
@@ -357,10 +359,6 @@
         } else if (discarded != null) {
             end();
             dispatcher.onOutcome(this, discarded);
-        } else if (!succeeded() && framing != ResponseFraming.CONNECTION) {
-            complete(framing.toString());
-        } else if (!succeeded()) {
-            confirmEnd();
         } else {
             switch (ResponseEnd.of(endedResponse(requestWritten), dispatcher.nowMs())) {
                 case ResponseEnd.Complete end -> {
@@ -368,21 +366,47 @@
                     complete(end.evidence());
                 }
                 case ResponseEnd.CutOff end -> onDisconnected(end.reason());
-                case ResponseEnd.Unproven end -> confirmEnd();
+                case ResponseEnd.Unconfirmed end -> probeEnd(false);
+                case ResponseEnd.Usual end -> probeEnd(true);
             }
         }
     }
 
-    private void confirmEnd() {
-        confirming = true;
-        dispatcher.confirmEnd(this);
-    }
-
     private EndedResponse endedResponse(boolean requestWritten) {
+        ForwardedResponse forwarded = exchange.forwarded();
         EndedResponse.Events events = mode == ResponseMode.EVENTS
-                ? new EndedResponse.Events(true, parser.hasPartialEvent(), exchange.headSent(), advanced)
+                ? new EndedResponse.Events(
+                        true, parser.hasPartialEvent(), exchange.headSent(), advanced, forwarded.endedAfterLastEvent())
                 : EndedResponse.Events.NONE;
-        return new EndedResponse(framing, requestWritten, receivedBytes > 0, exchange.deadlineMs(), events);
+        return new EndedResponse(
+                framing,
+                requestWritten,
+                receivedBytes > 0,
+                framing == ResponseFraming.CONNECTION && isWholeDocument(),
+                dispatcher.framingHabit().endsWithConnection(),
+                dispatcher.anyRankCrashed(),
+                exchange.deadlineMs(),
+                events);
+    }
+
+    private boolean isWholeDocument() {
+        HttpResponse response = head;
+        return response != null
+                && mode == ResponseMode.BUFFERED
+                && JsonDocument.isMediaType(response.headers().get(HttpHeaderNames.CONTENT_TYPE, ""))
+                && JsonDocument.isWhole(buffered.toByteArray());
+    }
+
+    private void probeEnd(boolean usual) {
+        usualEnd = usual;
+        if (!upstream.mayEndAsPlanned()) {
+            confirming = true;
+            dispatcher.confirmEnd(this);
+        } else if (usual) {
+            complete(framing + ", the upstream is leaving");
+        } else {
+            onUnconfirmedEnd();
+        }
     }
 
     /** Ends the attempt when it is known whether its upstream still listens after the connection has ended. */
@@ -395,14 +419,24 @@
         } else if (result == ProbeResult.REFUSED) {
             onFailure("the connection ended and the upstream no longer listens");
         } else if (dispatcher.anyRankCrashed()) {
-            // The other ranks of a group cut off what is in progress, and go on listening.
             onFailure("the connection ended after another rank of the group had crashed");
-        } else {
-            endProven = result == ProbeResult.LISTENING;
+        } else if (usualEnd && result == ProbeResult.LISTENING) {
+            endProven = true;
             complete(framing + ", " + result);
+        } else {
+            onUnconfirmedEnd();
         }
     }
 
+    private void onUnconfirmedEnd() {
+        exchange.forwarded().onUnconfirmedEnd();
+        String reason = "the response states no end, and its connection ended";
+        end();
+        dispatcher.onOutcome(
+                this,
+                replaceable() ? new AttemptOutcome.Unconfirmed(reason) : new AttemptOutcome.BrokenOff(reason, true));
+    }
+
     private void complete(String evidence) {
         HttpResponse response = head;
         end();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
@@ -28,6 +28,9 @@
         }
     }
 
+    /** The response may be whole or cut off, and nothing tells which. */
+    record Unconfirmed(String reason) implements AttemptOutcome {}
+
     /** The request was cancelled because its response made no progress; another upstream can take it. */
     record Stalled(String reason) implements AttemptOutcome {}
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
@@ -59,13 +59,7 @@
 
     /** Finds out whether an upstream still listens whose response ended with its connection. */
     void confirmEnd(Attempt attempt) {
-        if (attempt.upstream().mayEndAsPlanned()) {
-            // It may have ended as planned after its last response.
-            attempt.onEndProbed(ProbeResult.UNKNOWN);
-        } else {
-            detector.onEndedWithConnection(
-                    attempt.upstream(), attempt.exchange().promptParts(), attempt::onEndProbed);
-        }
+        detector.onEndedWithConnection(attempt.upstream(), attempt.exchange().promptParts(), attempt::onEndProbed);
     }
 
     /** Records a complete response. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -46,6 +46,9 @@
     private final List<String> promptParts;
     private final long deadlineMs;
     private final Set<String> triedUpstreams = new HashSet<>();
+    private @Nullable String confirmingUpstream;
+    private boolean lastSendConfirms;
+    private int confirmations;
     private int sends;
     private long firstSentMs = NEVER;
     private long firstResponseMs = NEVER;
@@ -140,8 +143,11 @@
         return sends;
     }
 
-    boolean tried(String upstreamId) {
-        return triedUpstreams.contains(upstreamId);
+    /** Returns whether the request may be sent to an upstream: to a new one, or to one that is asked once more. */
+    boolean admits(String upstreamId) {
+        return confirmingUpstream == null
+                ? !triedUpstreams.contains(upstreamId)
+                : upstreamId.equals(confirmingUpstream);
     }
 
     /** Returns whether the request has been sent to any upstream, which it is not sent to again. */
@@ -150,7 +156,11 @@
     }
 
     void onSend(String upstreamId, long nowMs) {
-        sends++;
+        lastSendConfirms = confirmingUpstream != null;
+        confirmingUpstream = null;
+        if (!lastSendConfirms) {
+            sends++;
+        }
         triedUpstreams.add(upstreamId);
         firstSentMs = firstSentMs == NEVER ? nowMs : firstSentMs;
     }
@@ -160,7 +170,23 @@
      * of attempts.
      */
     void onNotSent() {
-        sends--;
+        if (!lastSendConfirms) {
+            sends--;
+        }
+    }
+
+    /**
+     * Asks an upstream once more that has ended its response without saying whether that was all. The route's limit of
+     * attempts is one of upstreams, so this doesn't count against it.
+     */
+    void confirmAt(String upstreamId) {
+        confirmingUpstream = upstreamId;
+        confirmations++;
+    }
+
+    /** Returns how often the request was sent once more to an upstream that had it before. */
+    int confirmations() {
+        return confirmations;
     }
 
     /** Records that a part of the response arrived. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedResponse.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedResponse.java
@@ -5,6 +5,8 @@
 /** What has been passed on to the client of the response to its request, by one attempt or several. */
 final class ForwardedResponse {
 
+    private static final long NO_END = Long.MIN_VALUE;
+
     private boolean headSent;
     private String seal = "";
     private long lastEventId = StreamEvent.NO_ID;
@@ -12,6 +14,7 @@
     private long events;
     private long bytes;
     private String completion = "";
+    private long unconfirmedEndId = NO_END;
 
     /**
      * Records that the head has been passed on.
@@ -46,6 +49,16 @@
         completion = evidence;
     }
 
+    /** Records that an upstream ended its response in an orderly way, without saying whether that was its end. */
+    void onUnconfirmedEnd() {
+        unconfirmedEndId = lastEventId;
+    }
+
+    /** Returns whether an upstream has ended the stream in an orderly way after the last event that was passed on. */
+    boolean endedAfterLastEvent() {
+        return lastEventId != StreamEvent.NO_ID && unconfirmedEndId == lastEventId;
+    }
+
     boolean headSent() {
         return headSent;
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
+import org.kingcuproad.policy.gateway.FramingHabit;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RetryAfter;
@@ -36,6 +37,9 @@
      */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_000;
 
+    /** Each one costs a run; an upstream that can't say twice where its response ends won't do so later. */
+    private static final int MAX_CONFIRMATIONS = 2;
+
     private static final long NEW_CONNECTION = -1;
 
     private final Gateway gateway;
@@ -47,6 +51,7 @@
     private final DetachedAttempts detachedAttempts = new DetachedAttempts();
     private final WindowedRetryBudget budget;
     private final ServiceStatistics statistics = new ServiceStatistics();
+    private final FramingHabit framingHabit = new FramingHabit();
     private final CrashProtection crashProtection;
     private final OutcomeRecorder outcomeRecorder;
     private final UpstreamNotices notices;
@@ -302,6 +307,10 @@
         crashProtection.confirmEnd(attempt);
     }
 
+    FramingHabit framingHabit() {
+        return framingHabit;
+    }
+
     /** Returns whether the upstreams are ranks of a group of which one is known to have crashed. */
     boolean anyRankCrashed() {
         return engine && upstreams.list().stream().anyMatch(Upstream::crashed);
@@ -352,7 +361,7 @@
         exchange.setLastFailure(outcome.reason());
         long nowMs = nowMs();
         outcomeRecorder.record(attempt, outcome, nowMs);
-        boolean retry = mayRetry(exchange, outcome, nowMs);
+        boolean retry = mayRetry(exchange, attempt.upstream(), outcome, nowMs);
         ResponseSummary response = attempt.summary();
         gateway.metrics().count("attempts_failed_" + outcome.getClass().getSimpleName());
         gateway.log()
@@ -382,7 +391,7 @@
         }
     }
 
-    private boolean mayRetry(Exchange exchange, AttemptOutcome outcome, long nowMs) {
+    private boolean mayRetry(Exchange exchange, Upstream upstream, AttemptOutcome outcome, long nowMs) {
         return switch (outcome) {
             case AttemptOutcome.BrokenOff broken -> false;
             // A request that reached no upstream caused no load, so its retry does not count against the budget.
@@ -391,14 +400,27 @@
             case AttemptOutcome.Stalled stalled -> retryPossible(exchange, nowMs);
             case AttemptOutcome.NotRun notRun -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
             case AttemptOutcome.Lost lost -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
+            case AttemptOutcome.Unconfirmed unconfirmed ->
+                (retryPossible(exchange, nowMs) || confirmable(exchange, upstream, nowMs)) && budget.tryAcquire(nowMs);
             case AttemptOutcome.Failed failed -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
         };
     }
 
+    /** Returns whether the upstream is asked once more, since no other one can be. */
+    private boolean confirmable(Exchange exchange, Upstream upstream, long nowMs) {
+        boolean confirmable = upstream.usable()
+                && exchange.confirmations() < MAX_CONFIRMATIONS
+                && RetryPolicy.mayConfirm(exchange.route(), exchange.deadlineMs() - nowMs);
+        if (confirmable) {
+            exchange.confirmAt(upstream.entry().id());
+        }
+        return confirmable;
+    }
+
     private boolean retryPossible(Exchange exchange, long nowMs) {
         return RetryPolicy.mayRetry(
                         exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs)
-                && upstreams.anyUntried(exchange);
+                && upstreams.anyAdmitted(exchange);
     }
 
     private void endWithoutResponse(Exchange exchange, Attempt attempt, AttemptOutcome outcome) {
@@ -409,6 +431,7 @@
         switch (outcome) {
             case AttemptOutcome.Failed failed -> deliver(exchange, failed.response(), attempt.upstream());
             case AttemptOutcome.Lost lost -> endLost(exchange);
+            case AttemptOutcome.Unconfirmed unconfirmed -> endLost(exchange);
             case AttemptOutcome.Stalled stalled -> endLost(exchange);
             case AttemptOutcome.BrokenOff broken -> gateway.abort(exchange, broken.reason());
             case AttemptOutcome.NotRun notRun -> endNotRun(exchange);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
@@ -107,11 +107,11 @@
                 : OptionalLong.empty();
     }
 
-    /** Returns whether there is an upstream to which a request has not been sent yet. */
-    boolean anyUntried(Exchange exchange) {
+    /** Returns whether there is an upstream to which a request may be sent. */
+    boolean anyAdmitted(Exchange exchange) {
         return list.stream()
                 .anyMatch(upstream ->
-                        upstream.usable() && !exchange.tried(upstream.entry().id()));
+                        upstream.usable() && exchange.admits(upstream.entry().id()));
     }
 
     void closeExpiredConnections(long nowMs) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -35,7 +35,7 @@
             case UpstreamAvailability.Available yes -> true;
             case UpstreamAvailability.Unavailable no -> false;
         };
-        boolean admitted = available && !exchange.tried(upstream.entry().id());
+        boolean admitted = available && exchange.admits(upstream.entry().id());
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnconfirmedEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnconfirmedEndTest.java
@@ -24,6 +24,8 @@
 
     UnconfirmedEndTest() throws IOException {
         fixture = new GatewayFixture();
+        // No lookup is taken for stalled.
+        fixture.setLatencyGoalMs(10_000);
     }
 
     @AfterEach
@@ -159,7 +161,12 @@
 
     @Test
     void breaksOffAStreamThatNobodyCanConfirm() throws Exception {
-        fixture.streamingUpstream(stream(2));
+        fixture.streamingUpstream((request, output) -> {
+            if (nextId(request) > 1) {
+                throw new EOFException("no response");
+            }
+            stream(2).respond(request, output);
+        });
         fixture.start();
 
         String received = receivedStream();
@@ -168,6 +175,17 @@
         assertThat(received).doesNotEndWith(TERMINATOR);
     }
 
+    @Test
+    void completesAStreamWhoseOnlyUpstreamConfirmsItsEnd() throws Exception {
+        fixture.streamingUpstream(stream(2));
+        fixture.start();
+
+        String received = receivedStream();
+
+        assertThat(ids(received)).containsExactly("id: 1", "id: 2");
+        assertThat(received).endsWith(TERMINATOR);
+    }
+
     /** Both upstreams are sound; the second one is asked for what follows the last event. */
     @Test
     void completesAStreamWhoseEndAnotherUpstreamConfirms() throws Exception {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -1,10 +1,12 @@
 package org.kingcuproad.policy.gateway;
 
 /**
- * Decides whether a successful response is complete when its end has been read.
+ * Decides whether a response is complete when its end has been read.
  *
  * <p>This answers the load of upstreams in trouble whose responses state neither a length nor chunks. Such a response
- * ends with its connection, and so does one that was cut off; a client that gets a part as the whole never asks again.
+ * ends with its connection, and so does one that was cut off: the end of a process and proxies on the way turn a cut
+ * into an orderly end. A client that gets a part as the whole never asks again, so without evidence of its own a
+ * response is not complete.
  */
 public sealed interface ResponseEnd {
 
@@ -28,8 +30,11 @@
      */
     record CutOff(String reason) implements ResponseEnd {}
 
-    /** The response is complete unless the upstream has crashed. */
-    record Unproven() implements ResponseEnd {}
+    /** Nothing shows that the response is complete; another upstream may be asked. */
+    record Unconfirmed() implements ResponseEnd {}
+
+    /** The service ends all responses in this way, so the response is complete unless the upstream has crashed. */
+    record Usual() implements ResponseEnd {}
 
     /**
      * Decides about a response.
@@ -49,18 +54,29 @@
         if (response.framing() != ResponseFraming.CONNECTION) {
             return new Complete(response.framing().toString());
         }
+        return response.wholeDocument() ? new Complete("whole document") : ofConnection(response, nowMs);
+    }
+
+    private static ResponseEnd ofConnection(EndedResponse response, long nowMs) {
+        EndedResponse.Events events = response.events();
         if (!response.requestWritten()) {
             return new CutOff("the connection ended while the request was written");
         }
-        if (!response.hasBody()) {
-            return new CutOff("the connection ended before the first byte of the body");
+        if (response.rankCrashed()) {
+            // The other ranks of a group cut off what is in progress, and go on listening.
+            return new CutOff("the connection ended after another rank of the group had crashed");
         }
         if (events.expected() && !events.advanced()) {
-            return new CutOff("the connection ended before an event of the resumed stream");
+            return events.endedThere()
+                    ? new Complete("two upstreams ended the stream after the same event")
+                    : new CutOff("the connection ended before an event of the resumed stream");
+        }
+        if (!response.hasBody()) {
+            return new CutOff("the connection ended before the first byte of the body");
         }
         if (nowMs >= response.deadlineMs() - DEADLINE_TOLERANCE_MS) {
             return new CutOff("the connection ended at the deadline");
         }
-        return new Unproven();
+        return response.endsWithConnection() ? new Usual() : new Unconfirmed();
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
@@ -46,6 +46,18 @@
         return sends < route.attempts() && remainingMs > MIN_REMAINING_MS && (route.retryable() || !mayHaveRun);
     }
 
+    /**
+     * Returns whether a request may be sent once more to an upstream that has run it, to find out whether its response
+     * was whole.
+     *
+     * @param route route of the request
+     * @param remainingMs time that the client will still wait, in milliseconds
+     * @return {@code true} if the request may be repeated or resumed and the remaining time allows another send
+     */
+    public static boolean mayConfirm(GatewayRoute route, long remainingMs) {
+        return remainingMs > MIN_REMAINING_MS && route.retryable();
+    }
+
     /**
      * Returns whether a request is stalled at its upstream while the service as a whole makes progress. A stream whose
      * events are far apart is not stalled, nor is one that is not read because its client is slow.
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
@@ -11,7 +11,9 @@
 class ResponseEndTest {
 
     private static final long DEADLINE_MS = 10_000;
-    private static final EndedResponse.Events WHOLE = new EndedResponse.Events(true, false, true, true);
+    private static final EndedResponse.Events WHOLE = new EndedResponse.Events(true, false, true, true, false);
+
+    private static final EndedResponse.Events ENDED_THERE = new EndedResponse.Events(true, false, true, false, true);
 
     static Stream<Arguments> ends() {
         return Stream.of(
@@ -20,28 +22,28 @@
                         "last chunk at the deadline", response(ResponseFraming.CHUNKS, WHOLE), DEADLINE_MS, "Complete"),
                 Arguments.of(
                         "last chunk inside an event",
-                        response(ResponseFraming.CHUNKS, new EndedResponse.Events(true, true, true, true)),
+                        response(ResponseFraming.CHUNKS, new EndedResponse.Events(true, true, true, true, false)),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "last chunk before the first event",
-                        response(ResponseFraming.CHUNKS, new EndedResponse.Events(true, false, false, false)),
+                        response(ResponseFraming.CHUNKS, new EndedResponse.Events(true, false, false, false, false)),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "last chunk of a stream resumed after its last event",
-                        response(ResponseFraming.CHUNKS, new EndedResponse.Events(true, false, true, false)),
+                        response(ResponseFraming.CHUNKS, new EndedResponse.Events(true, false, true, false, false)),
                         1_000,
                         "Complete"),
-                Arguments.of("connection", response(ResponseFraming.CONNECTION, WHOLE), 1_000, "Unproven"),
+                Arguments.of("connection", response(ResponseFraming.CONNECTION, WHOLE), 1_000, "Unconfirmed"),
                 Arguments.of(
                         "connection of a response that is no stream",
                         response(ResponseFraming.CONNECTION, EndedResponse.Events.NONE),
                         1_000,
-                        "Unproven"),
+                        "Unconfirmed"),
                 Arguments.of(
                         "connection before an event of the resumed stream",
-                        response(ResponseFraming.CONNECTION, new EndedResponse.Events(true, false, true, false)),
+                        response(ResponseFraming.CONNECTION, new EndedResponse.Events(true, false, true, false, false)),
                         1_000,
                         "CutOff"),
                 Arguments.of(
@@ -53,28 +55,87 @@
                         "connection shortly before the deadline",
                         response(ResponseFraming.CONNECTION, WHOLE),
                         DEADLINE_MS - ResponseEnd.DEADLINE_TOLERANCE_MS - 1,
-                        "Unproven"),
+                        "Unconfirmed"),
                 Arguments.of(
                         "connection while the request was written",
-                        new EndedResponse(
-                                ResponseFraming.CONNECTION, false, true, DEADLINE_MS, EndedResponse.Events.NONE),
+                        connection(false, true, false, false, false, EndedResponse.Events.NONE),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "connection before the first byte of the body",
-                        new EndedResponse(
-                                ResponseFraming.CONNECTION, true, false, DEADLINE_MS, EndedResponse.Events.NONE),
+                        connection(true, false, false, false, false, EndedResponse.Events.NONE),
+                        1_000,
+                        "CutOff"),
+                Arguments.of(
+                        "connection after a whole document",
+                        connection(true, true, true, false, false, EndedResponse.Events.NONE),
+                        1_000,
+                        "Complete"),
+                Arguments.of(
+                        "connection after a whole document before the request was read",
+                        connection(false, true, true, false, false, EndedResponse.Events.NONE),
+                        1_000,
+                        "Complete"),
+                Arguments.of(
+                        "connection of a service that states no ends",
+                        connection(true, true, false, true, false, EndedResponse.Events.NONE),
+                        1_000,
+                        "Usual"),
+                Arguments.of(
+                        "connection of a service that states no ends, at the deadline",
+                        connection(true, true, false, true, false, EndedResponse.Events.NONE),
+                        DEADLINE_MS,
+                        "CutOff"),
+                Arguments.of(
+                        "connection after a rank had crashed",
+                        connection(true, true, false, false, true, WHOLE),
+                        1_000,
+                        "CutOff"),
+                Arguments.of(
+                        "connection where another upstream had ended the stream",
+                        connection(true, false, false, false, false, ENDED_THERE),
+                        1_000,
+                        "Complete"),
+                Arguments.of(
+                        "connection where another upstream had ended the stream, after a rank had crashed",
+                        connection(true, false, false, false, true, ENDED_THERE),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "length of an empty body",
-                        new EndedResponse(ResponseFraming.LENGTH, true, false, DEADLINE_MS, EndedResponse.Events.NONE),
+                        new EndedResponse(
+                                ResponseFraming.LENGTH,
+                                true,
+                                false,
+                                false,
+                                false,
+                                false,
+                                DEADLINE_MS,
+                                EndedResponse.Events.NONE),
                         1_000,
                         "Complete"));
     }
 
     private static EndedResponse response(ResponseFraming framing, EndedResponse.Events events) {
-        return new EndedResponse(framing, true, true, DEADLINE_MS, events);
+        return new EndedResponse(framing, true, true, false, false, false, DEADLINE_MS, events);
+    }
+
+    private static EndedResponse connection(
+            boolean requestWritten,
+            boolean hasBody,
+            boolean wholeDocument,
+            boolean endsWithConnection,
+            boolean rankCrashed,
+            EndedResponse.Events events) {
+        return new EndedResponse(
+                ResponseFraming.CONNECTION,
+                requestWritten,
+                hasBody,
+                wholeDocument,
+                endsWithConnection,
+                rankCrashed,
+                DEADLINE_MS,
+                events);
     }
 
     @ParameterizedTest(name = "{0}")
