--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -101,7 +101,7 @@
                     ? new Improper("successful response without a seal")
                     : answer(head, request);
         }
-        return request.earlierIds().contains(id)
+        return !id.isBlank() && request.earlierIds().contains(id)
                 ? new LateCopy(id)
                 : new Improper("response to a request that was not sent on the connection");
     }
