Never choose one port twice in the gateway's test fixture

The ports of the front, the readiness and the metrics are chosen one after the other and closed again, and the system may choose a closed port again; the gateway then can't bind. ResumedStreamTest once found its gateway not ready within 10 s, beside a load average of 30. That this was the cause is not shown.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -14,11 +14,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -73,6 +75,7 @@
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final List<UpstreamEntry> entries = new ArrayList<>();
     private final String host = ownLoopbackAddress();
+    private final Set<Integer> chosenPorts = new HashSet<>();
     private final int port;
     private final int readyPort;
     private int peerPort;
@@ -100,9 +103,14 @@
         return "127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255) + "." + random.nextInt(1, 255);
     }
 
+    /** Returns a port that no other call has returned; the system may choose a port again once it is closed. */
     private int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+                if (chosenPorts.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
