Probe a stream's end that was confirmed, and ask elsewhere when an upstream leaves

A confirmed end is now only probable, as that of a service that states no ends: the upstream has to accept a connection afterwards, and nothing is confirmed at the deadline. An upstream that may end as planned gives no evidence. Any Content-Encoding is improper. A request that is to be confirmed may go to a new upstream as long as its attempts allow it, and ends when none is left.

That a waiting request ends or goes elsewhere when its upstream leaves has no test.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -73,7 +73,7 @@
     private boolean readingPaused;
     private boolean advanced;
     private boolean confirming;
-    private boolean usualEnd;
+    private String endEvidence = "";
     private boolean endProven;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
@@ -366,8 +366,8 @@
                     complete(end.evidence());
                 }
                 case ResponseEnd.CutOff end -> onDisconnected(end.reason());
-                case ResponseEnd.Unconfirmed end -> probeEnd(false);
-                case ResponseEnd.Usual end -> probeEnd(true);
+                case ResponseEnd.Unconfirmed end -> probeEnd("");
+                case ResponseEnd.Probable end -> probeEnd(end.evidence());
             }
         }
     }
@@ -397,15 +397,19 @@
                 && JsonDocument.isWhole(buffered.toByteArray());
     }
 
-    private void probeEnd(boolean usual) {
-        usualEnd = usual;
-        if (!upstream.mayEndAsPlanned()) {
+    /**
+     * Finds out whether the upstream has crashed.
+     *
+     * @param evidence why the response is complete if it has not, or empty
+     */
+    private void probeEnd(String evidence) {
+        if (upstream.mayEndAsPlanned()) {
+            // That it no longer listens would say nothing, so there is nothing that speaks against a crash either.
+            onUnconfirmedEnd();
+        } else {
+            endEvidence = evidence;
             confirming = true;
             dispatcher.confirmEnd(this);
-        } else if (usual) {
-            complete(framing + ", the upstream is leaving");
-        } else {
-            onUnconfirmedEnd();
         }
     }
 
@@ -420,9 +424,9 @@
             onFailure("the connection ended and the upstream no longer listens");
         } else if (dispatcher.anyRankCrashed()) {
             onFailure("the connection ended after another rank of the group had crashed");
-        } else if (usualEnd && result == ProbeResult.LISTENING) {
+        } else if (!endEvidence.isEmpty() && result == ProbeResult.LISTENING) {
             endProven = true;
-            complete(framing + ", " + result);
+            complete(endEvidence);
         } else {
             onUnconfirmedEnd();
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -143,11 +143,13 @@
         return sends;
     }
 
-    /** Returns whether the request may be sent to an upstream: to a new one, or to one that is asked once more. */
+    /**
+     * Returns whether the request may be sent to an upstream: to one that is asked once more, or to a new one as long
+     * as the route's limit of attempts allows it.
+     */
     boolean admits(String upstreamId) {
-        return confirmingUpstream == null
-                ? !triedUpstreams.contains(upstreamId)
-                : upstreamId.equals(confirmingUpstream);
+        return upstreamId.equals(confirmingUpstream)
+                || (sends < route.attempts() && !triedUpstreams.contains(upstreamId));
     }
 
     /** Returns whether the request has been sent to any upstream, which it is not sent to again. */
@@ -156,7 +158,7 @@
     }
 
     void onSend(String upstreamId, long nowMs) {
-        lastSendConfirms = confirmingUpstream != null;
+        lastSendConfirms = upstreamId.equals(confirmingUpstream);
         confirmingUpstream = null;
         if (!lastSendConfirms) {
             sends++;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -447,6 +447,15 @@
         }
     }
 
+    /** Ends a request that can't be sent again, because the upstreams that it may be sent to have left meanwhile. */
+    private void endWithoutUpstream(Exchange exchange) {
+        if (exchange.headSent()) {
+            gateway.abort(exchange, "no upstream is left to resume the stream");
+        } else {
+            endNotRun(exchange);
+        }
+    }
+
     private void endLost(Exchange exchange) {
         gateway.endWithProblem(
                 exchange,
@@ -478,6 +487,8 @@
                 .forEach(gateway::endForShutdown);
         queue.removeMatching(exchange -> !exchange.mayHaveRun() && refusals.returnsTooLate(exchange, nowMs))
                 .forEach(refusals::endUnservable);
+        queue.removeMatching(exchange -> exchange.tried() && !upstreams.anyAdmitted(exchange))
+                .forEach(this::endWithoutUpstream);
         for (Exchange exchange : queue.removeExpired(nowMs)) {
             if (exchange.headSent()) {
                 gateway.abort(exchange, "no upstream had capacity to resume the stream");
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Set;
-import java.util.function.Predicate;
 
 /**
  * Decides whether the head of a response answers the request in progress on its connection.
@@ -61,7 +60,7 @@
         if (!hasKnownFraming(head)) {
             return new Improper("framing that the protocol doesn't have");
         }
-        if (!isPlain(head.contentCodings())) {
+        if (!head.contentCodings().isEmpty()) {
             return new Improper("encoded body");
         }
         if (head.requestIds().size() > 1 || head.seals().size() > 1) {
@@ -80,12 +79,6 @@
                         && head.lengths().isEmpty());
     }
 
-    private static boolean isPlain(List<String> contentCodings) {
-        return contentCodings.stream()
-                .map(String::strip)
-                .allMatch(((Predicate<String>) String::isEmpty).or("identity"::equalsIgnoreCase));
-    }
-
     /** An upstream may reject a request without having read its id, which can only be the first of a connection. */
     private static HeadVerdict withoutId(ResponseHead head, ExpectedResponse request) {
         if (!request.earlierIds().isEmpty()) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/JsonDocument.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/JsonDocument.java
@@ -12,6 +12,13 @@
     private static final String MEDIA_TYPE = "application/json";
     private static final String MEDIA_TYPE_SUFFIX = "+json";
 
+    /** The ends of the objects and arrays that have begun, the outermost first. */
+    private final StringBuilder closers = new StringBuilder();
+
+    private boolean inString;
+    private boolean escaped;
+    private boolean ended;
+
     private JsonDocument() {}
 
     /**
@@ -33,35 +40,45 @@
      * @return {@code true} if nothing is missing at its end and nothing follows it
      */
     public static boolean isWhole(byte[] text) {
-        StringBuilder open = new StringBuilder();
-        boolean inString = false;
-        boolean ended = false;
-        for (int index = 0; index < text.length; index++) {
-            byte next = text[index];
-            if (inString) {
-                if (next == '\\') {
-                    index++;
-                } else if (next == '"') {
-                    inString = false;
-                }
-            } else if (isWhiteSpace(next)) {
-                continue;
-            } else if (ended || (open.isEmpty() && next != '{' && next != '[')) {
+        JsonDocument scan = new JsonDocument();
+        for (byte next : text) {
+            if (scan.inString) {
+                scan.readInString(next);
+            } else if (!isWhiteSpace(next) && !scan.read(next)) {
                 return false;
-            } else if (next == '"') {
-                inString = true;
-            } else if (next == '{' || next == '[') {
-                open.append((char) (next == '{' ? '}' : ']'));
-            } else if (next == '}' || next == ']') {
-                int last = open.length() - 1;
-                if (open.charAt(last) != next) {
-                    return false;
-                }
-                open.setLength(last);
-                ended = open.isEmpty();
             }
         }
-        return ended;
+        return scan.ended;
+    }
+
+    private void readInString(byte next) {
+        inString = escaped || next != '"';
+        escaped = !escaped && next == '\\';
+    }
+
+    /** Returns whether the text may go on with a character that is in no string. */
+    private boolean read(byte next) {
+        if (ended || (closers.isEmpty() && next != '{' && next != '[')) {
+            return false;
+        }
+        switch (next) {
+            case '"' -> inString = true;
+            case '{' -> closers.append('}');
+            case '[' -> closers.append(']');
+            case '}', ']' -> {
+                return close(next);
+            }
+            default -> {}
+        }
+        return true;
+    }
+
+    private boolean close(byte closer) {
+        int last = closers.length() - 1;
+        boolean matches = closers.charAt(last) == closer;
+        closers.setLength(last);
+        ended = closers.isEmpty();
+        return matches;
     }
 
     private static boolean isWhiteSpace(byte next) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -33,8 +33,12 @@
     /** Nothing shows that the response is complete; another upstream may be asked. */
     record Unconfirmed() implements ResponseEnd {}
 
-    /** The service ends all responses in this way, so the response is complete unless the upstream has crashed. */
-    record Usual() implements ResponseEnd {}
+    /**
+     * The response is complete unless the upstream has crashed.
+     *
+     * @param evidence why, for the log
+     */
+    record Probable(String evidence) implements ResponseEnd {}
 
     /**
      * Decides about a response.
@@ -66,17 +70,19 @@
             // The other ranks of a group cut off what is in progress, and go on listening.
             return new CutOff("the connection ended after another rank of the group had crashed");
         }
+        if (nowMs >= response.deadlineMs() - DEADLINE_TOLERANCE_MS) {
+            return new CutOff("the connection ended at the deadline");
+        }
         if (events.expected() && !events.advanced()) {
             return events.endedThere()
-                    ? new Complete("two upstreams ended the stream after the same event")
+                    ? new Probable("the stream was ended twice after the same event")
                     : new CutOff("the connection ended before an event of the resumed stream");
         }
         if (!response.hasBody()) {
             return new CutOff("the connection ended before the first byte of the body");
         }
-        if (nowMs >= response.deadlineMs() - DEADLINE_TOLERANCE_MS) {
-            return new CutOff("the connection ended at the deadline");
-        }
-        return response.endsWithConnection() ? new Usual() : new Unconfirmed();
+        return response.endsWithConnection()
+                ? new Probable("the service ends all responses with their connection")
+                : new Unconfirmed();
     }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/HeadVerdictTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/HeadVerdictTest.java
@@ -50,7 +50,8 @@
                 Arguments.of("chunks twice", framed(List.of("chunked", "chunked"), NONE, NONE), FIRST, "Improper"),
                 Arguments.of("chunks and length", framed(List.of("chunked"), List.of("4"), NONE), FIRST, "Improper"),
                 Arguments.of("encoded", framed(NONE, List.of("4"), List.of("gzip")), FIRST, "Improper"),
-                Arguments.of("not encoded", framed(NONE, List.of("4"), List.of("identity")), FIRST, "Answer"),
+                Arguments.of(
+                        "declared as not encoded", framed(NONE, List.of("4"), List.of("identity")), FIRST, "Improper"),
                 Arguments.of(
                         "late copy with an unknown coding",
                         new ResponseHead(200, List.of("r1"), SEAL, List.of("x"), NONE, NONE),
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
@@ -80,7 +80,7 @@
                         "connection of a service that states no ends",
                         connection(true, true, false, true, false, EndedResponse.Events.NONE),
                         1_000,
-                        "Usual"),
+                        "Probable"),
                 Arguments.of(
                         "connection of a service that states no ends, at the deadline",
                         connection(true, true, false, true, false, EndedResponse.Events.NONE),
@@ -95,7 +95,12 @@
                         "connection where another upstream had ended the stream",
                         connection(true, false, false, false, false, ENDED_THERE),
                         1_000,
-                        "Complete"),
+                        "Probable"),
+                Arguments.of(
+                        "connection where another upstream had ended the stream, at the deadline",
+                        connection(true, false, false, false, false, ENDED_THERE),
+                        DEADLINE_MS,
+                        "CutOff"),
                 Arguments.of(
                         "connection where another upstream had ended the stream, after a rank had crashed",
                         connection(true, false, false, false, true, ENDED_THERE),
