--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedClient.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedClient.java
@@ -94,6 +94,9 @@
     private static ShapedAnswer.End read(ShapedInput input, ShapedRequest request, Partial partial)
             throws IOException, InterruptedException {
         String head = input.readHead();
+        if (!head.matches("(?s)HTTP/1\\.1 \\d{3} .*")) {
+            throw new AssertionError("an answer to " + request.id() + " without a status line: " + head);
+        }
         partial.status = Integer.parseInt(head.substring(9, 12));
         partial.head = head;
         Thread.sleep(request.readPauseMs());
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedDraws.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedDraws.java
@@ -54,6 +54,17 @@
         return least == most ? most : random.nextInt(least, most + 1) >> random.nextInt(4) | least;
     }
 
+    /** Creates a JSON document of a given size in bytes that names its writer everywhere, if it isn't too small. */
+    static byte[] document(String writer, int bytes) {
+        String begin = "{\"" + writer + "\":[\"}\\\"\",\"";
+        String end = "\"]}";
+        int textBytes = bytes - begin.length() - end.length();
+        return textBytes < 0
+                ? pattern(writer, bytes)
+                : (begin + new String(pattern(writer, textBytes), StandardCharsets.UTF_8) + end)
+                        .getBytes(StandardCharsets.UTF_8);
+    }
+
     /** Creates text of a given size in bytes that names its writer everywhere. */
     static byte[] pattern(String writer, int bytes) {
         byte[] unit = (writer + ";").getBytes(StandardCharsets.UTF_8);
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedEvents.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedEvents.java
@@ -9,11 +9,6 @@
 
     private ShapedEvents() {}
 
-    /** Returns whether no event is incomplete. */
-    static boolean endsBetweenEvents(byte[] bytes) {
-        return split(bytes).getLast().isBlank();
-    }
-
     /** Returns the events, each with its last blank line and without any before it, and then what follows them. */
     static List<String> split(byte[] bytes) {
         String text = new String(bytes, StandardCharsets.UTF_8);
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedOracle.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedOracle.java
@@ -53,6 +53,9 @@
         if (sealed.isEmpty()) {
             return Optional.of("the seal is of no run");
         }
+        if (sealed.get().improper()) {
+            return Optional.of("the seal of a run that answered nothing that the protocol has");
+        }
         if (sealed.get().status() != answer.status()) {
             return Optional.of("another status than that of the run");
         }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedRun.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedRun.java
@@ -21,6 +21,8 @@
     private final ShapedResponse response;
     private volatile boolean ran;
     private volatile boolean late;
+    private volatile boolean spoiled;
+    private volatile byte[] trailing = {};
     private volatile int bodyBytesWritten;
     private volatile End end = End.OPEN;
 
@@ -54,12 +56,27 @@
         late = true;
     }
 
+    /** Records that bytes of no response to a request of the connection were written before the response. */
+    void onSpoiled() {
+        spoiled = true;
+    }
+
+    /** Returns whether what was written is no response of the protocol to the request. */
+    boolean improper() {
+        return spoiled || (!late && response.improper());
+    }
+
+    /** Records bytes that were written after a body that ends with its connection, of which they seem to be a part. */
+    void onTrailing(byte[] bytes) {
+        trailing = bytes;
+    }
+
     int status() {
         return late ? GATEWAY_TIMEOUT : response.status();
     }
 
     boolean successful() {
-        return !late && response.successful();
+        return !late && !improper() && response.successful();
     }
 
     /** Adds to the number of bytes of the body that may have been written. */
@@ -73,7 +90,12 @@
 
     /** Returns the bytes of the body that may have been written. */
     byte[] writtenBody() {
-        return late ? lateBody() : Arrays.copyOf(response.body(), bodyBytesWritten);
+        if (late) {
+            return lateBody();
+        }
+        byte[] written = Arrays.copyOf(response.body(), bodyBytesWritten + trailing.length);
+        System.arraycopy(trailing, 0, written, bodyBytesWritten, trailing.length);
+        return written;
     }
 
     byte[] lateBody() {
@@ -82,9 +104,10 @@
 
     @Override
     public String toString() {
-        return "run " + response.seal() + " " + status() + " " + response.framing() + " "
+        return "run " + response.seal() + " " + status() + " " + response.headShape() + " " + response.framing() + " "
                 + (response.events().isPresent() ? "stream" : "body") + " of " + response.body().length + ", " + end
-                + " after " + bodyBytesWritten + ", cut=" + response.cut() + ", ran=" + ran + ", early="
+                + " after " + bodyBytesWritten + "+" + trailing.length + ", cut=" + response.cut() + " "
+                + response.cutPoint() + ", spoiled=" + spoiled + ", ran=" + ran + ", early="
                 + response.early() + ", flood=" + response.flood() + ", stutter=" + response.stutter();
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedStutter.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedStutter.java
@@ -10,12 +10,23 @@
  * @param status its status, which may differ from that of the first answer
  * @param notRun whether it claims that the request was not run
  * @param framing how it says where it ends
- * @param withId whether it names the request
+ * @param id which request it names
  * @param withNext whether it comes directly before the answer to the next request
  * @param delayMs time after the first answer, in milliseconds
  */
-record ShapedStutter(
-        int status, boolean notRun, ResponseFraming framing, boolean withId, boolean withNext, long delayMs) {
+record ShapedStutter(int status, boolean notRun, ResponseFraming framing, Id id, boolean withNext, long delayMs) {
+
+    /** Request that a second answer names. */
+    enum Id {
+        REQUEST,
+        /** One that the connection never carried. */
+        FOREIGN,
+        NONE
+    }
+
+    private static final Id[] IDS = {
+        Id.REQUEST, Id.REQUEST, Id.REQUEST, Id.REQUEST, Id.REQUEST, Id.REQUEST, Id.FOREIGN, Id.FOREIGN, Id.NONE, Id.NONE
+    };
 
     static ShapedStutter draw(RandomGenerator random, int firstStatus) {
         int[] statuses = {firstStatus, 200, 503, 504, 421, 429};
@@ -24,7 +35,7 @@
                 status,
                 status >= 421 && status <= 503,
                 ResponseFraming.values()[new int[] {0, 0, 1, 3}[random.nextInt(4)]],
-                ShapedDraws.chance(random, 0.8),
+                IDS[random.nextInt(IDS.length)],
                 ShapedDraws.chance(random, 0.4),
                 ShapedDraws.chance(random, 0.4) ? 0 : random.nextLong(60));
     }
@@ -33,10 +44,19 @@
         return framing == ResponseFraming.CONNECTION;
     }
 
+    /** Returns whether nothing that follows on the connection can be trusted. */
+    boolean spoilsConnection() {
+        return id != Id.REQUEST;
+    }
+
     byte[] bytes(String requestId, String seal) {
         String body = "copy of " + seal;
         String head = "HTTP/1.1 " + status + " X\r\nX-Seal: " + seal + "\r\n"
-                + (withId ? "X-Request: " + requestId + "\r\n" : "")
+                + switch (id) {
+                    case REQUEST -> "X-Request: " + requestId + "\r\n";
+                    case FOREIGN -> "X-Request: never-" + requestId + "\r\n";
+                    case NONE -> "";
+                }
                 + (notRun ? "X-Not-Run: 1\r\n" : "");
         return (head
                         + switch (framing) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedTraffic.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedTraffic.java
@@ -178,6 +178,7 @@
     private static boolean isLost(ShapedAnswer answer, List<ShapedRun> requestRuns) {
         return requestRuns.size() == 1
                 && requestRuns.getFirst().ran()
+                && !requestRuns.getFirst().improper()
                 && requestRuns.getFirst().end() == ShapedRun.End.WHOLE
                 && answer.end() != ShapedAnswer.End.LEFT
                 && (answer.end() != ShapedAnswer.End.WHOLE || answer.seal().isEmpty());
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedUpstream.java
@@ -68,6 +68,7 @@
         try (accepted) {
             ShapedInput input = new ShapedInput(accepted.getInputStream());
             byte[] copy = {};
+            boolean spoiled = false;
             while (true) {
                 String head = input.readHead();
                 long endNs = System.nanoTime() + Long.parseLong(FakeUpstream.header(head, "X-Deadline")) * NS_PER_MS;
@@ -77,6 +78,9 @@
                     readBody(input, run);
                 }
                 run.onRun();
+                if (spoiled) {
+                    run.onSpoiled();
+                }
                 accepted.getOutputStream().write(copy);
                 respond(accepted, run, endNs);
                 if (response.status() == MISDIRECTED_REQUEST && ended.compareAndSet(false, true)) {
@@ -89,6 +93,7 @@
                     readBody(input, run);
                 }
                 copy = stutter(accepted, response);
+                spoiled |= response.stutter().stream().anyMatch(ShapedStutter::spoilsConnection);
             }
         } catch (IOException closed) {
             // The gateway has closed the connection, or the response ends with it.
@@ -143,11 +148,9 @@
     private void write(Socket connection, ShapedRun run, long endNs) throws IOException, InterruptedException {
         ShapedResponse response = run.response();
         List<ShapedPart> parts = ShapedPart.of(response);
-        int total = parts.stream().mapToInt(part -> part.bytes().length).sum();
         int cutAfter = response.cut() == ShapedCut.NONE
                 ? Integer.MAX_VALUE
-                : (int) (response.cutAt()
-                        * (response.cutInHead() ? parts.getFirst().bytes().length : total));
+                : response.cutPoint().bytes(response, parts);
         int written = 0;
         for (ShapedPart part : parts) {
             long waitNs = Math.min(part.delayMs() * NS_PER_MS, endNs - System.nanoTime());
@@ -164,9 +167,14 @@
             connection.getOutputStream().write(next.bytes());
             written += next.bytes().length;
             if (cut) {
-                cut(connection, run, part != parts.getFirst());
+                cut(connection, run);
             }
         }
+        if (response.framing() == ResponseFraming.CONNECTION
+                && response.events().isEmpty()
+                && response.stutter().isPresent()) {
+            writeTrailing(connection, run, response.stutter().get());
+        }
         run.end(ShapedRun.End.WHOLE);
     }
 
@@ -193,18 +201,20 @@
         }
     }
 
-    private void cut(Socket connection, ShapedRun run, boolean headWritten) throws IOException, InterruptedException {
+    /** Writes a second answer that nothing separates from the body of the first. */
+    private static void writeTrailing(Socket connection, ShapedRun run, ShapedStutter stutter)
+            throws IOException, InterruptedException {
         ShapedResponse response = run.response();
-        switch (response.cut()) {
-            case NONE -> {}
-            case CLOSE -> {
-                // Such a response states no other end, so what has been written is all of it.
-                if (headWritten
-                        && response.framing() == ResponseFraming.CONNECTION
-                        && (response.events().isEmpty() || ShapedEvents.endsBetweenEvents(run.writtenBody()))) {
-                    run.end(ShapedRun.End.WHOLE);
-                }
-            }
+        byte[] copy = stutter.bytes(response.request().id(), response.seal());
+        run.onTrailing(copy);
+        Thread.sleep(stutter.delayMs());
+        connection.getOutputStream().write(copy);
+        throw new EOFException("the second answer ends with the connection");
+    }
+
+    private void cut(Socket connection, ShapedRun run) throws IOException, InterruptedException {
+        switch (run.response().cut()) {
+            case NONE, CLOSE -> {}
             case RESET -> connection.setSoLinger(true, 0);
             case CRASH -> crash();
         }
