Close connections of calls on which other bytes arrive

Cause: calls to the store and the engines carry no id, so a response shows only by its place on the connection which call it answers. Bytes after a response were left to the next call: a second response that came with the response to that call was taken for it, and bytes that are no whole message stayed in the decoder of an idle connection.

Change: the parts of a response are assembled here instead of in the library's aggregator. A call ends when all bytes of the read that brought the end of its response have been seen. If more bytes or a second response are among them, the call is lost and the connection is closed; bytes that arrive while no call is in progress, also a part of a message, close it too. A request that was not written to its end closes the connection after its response. A call that began just after a connection had closed was lost as "closed by the server" when the event of the old connection came; the old connection is now let go before a new one is opened. Status lines are read by UpstreamResponseDecoder, which now also knows the end of a response that ends with its connection.

This answers the load of servers in trouble that write additional bytes with a response or shortly after it. A reply that is lost so is called for again by its caller, a read after its interval, and an order may have been carried out. The connections of sound servers are kept: one for each call would cost new connections to engines, which are priced and may hold a slot, for about 70 reports a second of a group of 12 ranks (10 at 200 ms and 2 at 100 ms, up to 50 a second each during a map change), and on lossy links each lost first packet would cost a call to the store a second instead of a retransmission. The number of calls stays as it was.

Conclusion: a second response that arrives alone while the next call is in progress still can't be told from the response to that one.

--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
@@ -0,0 +1,90 @@
+package org.kingcuproad.gateway;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
+import java.util.Optional;
+
+/** Assembles the response to one call from the parts that a connection decodes. */
+final class ReplyAssembler {
+
+    /**
+     * Maximum size of a response. Objects are at most one megabyte and a listing about one; the rest is for names and
+     * punctuation.
+     */
+    private static final int MAX_RESPONSE_BYTES = 4 << 20;
+
+    /** Maximum number of informational responses to a call; a server in trouble may send them without end. */
+    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
+
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private int status;
+    private int informationalResponses;
+    private boolean skipping;
+    private boolean keepAlive;
+    private boolean complete;
+
+    /**
+     * Adds the next part.
+     *
+     * @param part the part; it is not released
+     * @return why it can't belong to the response to the call, or empty if it may
+     */
+    Optional<String> add(HttpObject part) {
+        if (part.decoderResult().isFailure()) {
+            return Optional.of("malformed response: " + part.decoderResult().cause());
+        }
+        if (complete) {
+            return Optional.of("second response");
+        }
+        Optional<String> fault = part instanceof HttpResponse head ? addHead(head) : Optional.empty();
+        return fault.isEmpty() && part instanceof HttpContent content ? addContent(content) : fault;
+    }
+
+    private Optional<String> addHead(HttpResponse head) {
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            skipping = true;
+            informationalResponses++;
+            return informationalResponses > MAX_INFORMATIONAL_RESPONSES
+                    ? Optional.of("informational responses without end")
+                    : Optional.empty();
+        }
+        status = head.status().code();
+        keepAlive = HttpUtil.isKeepAlive(head);
+        return Optional.empty();
+    }
+
+    private Optional<String> addContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
+        if (skipping) {
+            skipping = !last;
+            return Optional.empty();
+        }
+        if (body.size() + content.content().readableBytes() > MAX_RESPONSE_BYTES) {
+            return Optional.of("response of more than " + MAX_RESPONSE_BYTES + " bytes");
+        }
+        body.writeBytes(ByteBufUtil.getBytes(content.content()));
+        complete = last;
+        return Optional.empty();
+    }
+
+    /** Returns whether the response has been read to its end. */
+    boolean complete() {
+        return complete;
+    }
+
+    /** Returns whether the server will respond to another call on the connection. */
+    boolean keepAlive() {
+        return keepAlive;
+    }
+
+    /** Returns the response, once it is complete. */
+    HttpReply.Response response() {
+        return new HttpReply.Response(status, body.toByteArray());
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
@@ -6,22 +6,21 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -30,7 +29,9 @@
  * An HTTP connection that carries one call at a time.
  *
  * <p>It is opened when a call needs it and closed when a call times out, because a connection that has stopped
- * responding does not recover. All methods are called on the event loop.
+ * responding does not recover. Responses don't say which call they answer. Bytes that arrive while no call is in
+ * progress therefore close the connection, and a call is lost if bytes follow its response in the same read. All
+ * methods are called on the event loop.
  */
 public final class SerialHttpConnection {
 
@@ -40,15 +41,6 @@
      */
     private static final int CONNECT_TIMEOUT_MS = 500;
 
-    /**
-     * Maximum size of a response. Objects are at most one megabyte and a listing about one; the rest is for names and
-     * punctuation.
-     */
-    private static final int MAX_RESPONSE_BYTES = 4 << 20;
-
-    /** Maximum number of informational responses to a call; a server in trouble may send them without end. */
-    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
-
     private final EventLoop eventLoop;
     private final InetSocketAddress address;
     private @Nullable Channel channel;
@@ -88,6 +80,7 @@
         if (open != null && open.isActive()) {
             send(open, call);
         } else {
+            closeChannel();
             connect(call);
         }
     }
@@ -103,6 +96,7 @@
     }
 
     private void connect(Call call) {
+        UpstreamResponseDecoder decoder = new UpstreamResponseDecoder(() -> false);
         ChannelFuture connectFuture = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioSocketChannel.class)
@@ -111,12 +105,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel newChannel) {
-                        newChannel
-                                .pipeline()
-                                .addLast(
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                        new ResponseHandler());
+                        newChannel.pipeline().addLast(new HttpRequestEncoder(), decoder, new ResponseHandler(decoder));
                     }
                 })
                 .connect(address);
@@ -142,7 +131,7 @@
         if (call.body.length > 0 || !call.method.equals(HttpMethod.GET)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
         }
-        open.writeAndFlush(request);
+        call.write = open.writeAndFlush(request);
     }
 
     private void finish(Call call, HttpReply reply, boolean close) {
@@ -173,8 +162,9 @@
         private final String target;
         private final byte[] body;
         private final Consumer<HttpReply> onReply;
+        private final ReplyAssembler assembler = new ReplyAssembler();
         private @Nullable ScheduledFuture<?> timer;
-        private int informationalResponses;
+        private @Nullable ChannelFuture write;
 
         private Call(HttpMethod method, String target, byte[] body, Consumer<HttpReply> onReply) {
             this.method = method;
@@ -182,32 +172,56 @@
             this.body = body;
             this.onReply = onReply;
         }
+
+        /** Returns whether no part of the request remains to be sent before the next one. */
+        private boolean written() {
+            return write != null && write.isSuccess();
+        }
     }
 
-    private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class ResponseHandler extends ChannelInboundHandlerAdapter {
+
+        private final UpstreamResponseDecoder decoder;
+
+        private ResponseHandler(UpstreamResponseDecoder decoder) {
+            this.decoder = decoder;
+        }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            Call call = current;
-            if (call == null || context.channel() != channel) {
-                context.close();
-                return;
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            try {
+                Call call = current;
+                if (context.channel() != channel) {
+                    context.close();
+                } else if (call == null) {
+                    closeChannel();
+                } else if (message instanceof HttpObject part) {
+                    Optional<String> fault = call.assembler.add(part);
+                    fault.ifPresent(reason -> finish(call, new HttpReply.Lost(reason), true));
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
             }
-            if (response.decoderResult().isFailure()) {
-                finish(call, new HttpReply.Lost("malformed response"), true);
+        }
+
+        /** Ends a call when all bytes that arrived with the end of its response have been seen. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (context.channel() != channel) {
                 return;
             }
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                // The final response follows; taken for the reply, it would leave that one to the next call.
-                call.informationalResponses++;
-                if (call.informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
-                    finish(call, new HttpReply.Lost("informational responses without end"), true);
+            Call call = current;
+            if (call == null) {
+                if (!decoder.betweenResponses()) {
+                    closeChannel();
+                }
+            } else if (call.assembler.complete()) {
+                if (decoder.betweenResponses()) {
+                    finish(call, call.assembler.response(), !call.assembler.keepAlive() || !call.written());
+                } else {
+                    finish(call, new HttpReply.Lost("bytes after the response"), true);
                 }
-                return;
             }
-            byte[] body = new byte[response.content().readableBytes()];
-            response.content().readBytes(body);
-            finish(call, new HttpReply.Response(response.status().code(), body), !HttpUtil.isKeepAlive(response));
         }
 
         @Override
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamResponseDecoder.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamResponseDecoder.java
@@ -53,6 +53,17 @@
         }
         int before = decoded.size();
         super.decode(context, buffer, decoded);
+        onDecoded(decoded, before);
+    }
+
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
+        int before = decoded.size();
+        super.decodeLast(context, buffer, decoded);
+        onDecoded(decoded, before);
+    }
+
+    private void onDecoded(List<Object> decoded, int before) {
         if (decoded.size() > before && decoded.getLast() instanceof LastHttpContent) {
             inMessage = false;
         }
