Believe only whole responses of the protocol to calls without ids

Transfer codings that nobody defined, an encoded body and a switch of protocols were read as a response, and a body without length that an orderly end of the connection cut off was a whole one: a cut report, or an accepted order.

Change: HeadVerdict decides about these heads too, without the part on ids and seals (HeadVerdict.ofCall). A response that ends with its connection is believed only if its body is a whole JSON document. All else is a lost call, so an order may have been carried out.

This answers the load of servers that spoil responses or are killed while they write one. Bodies of these calls are JSON objects, no beginning of which is one itself, so the whole document is evidence enough and a server that never states lengths is served.

CutReplyTest now also cuts a body without length at each byte.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
@@ -4,13 +4,15 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
+import org.kingcuproad.policy.gateway.HeadVerdict;
+import org.kingcuproad.policy.gateway.JsonDocument;
+import org.kingcuproad.policy.gateway.ResponseFraming;
 
-/** Assembles the response to one call from the parts that a connection decodes. */
+/** Assembles the response to one call, whose body is a JSON document, from the parts that a connection decodes. */
 final class ReplyAssembler {
 
     /**
@@ -23,6 +25,7 @@
     private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ResponseFraming framing = ResponseFraming.NO_BODY;
     private int status;
     private int informationalResponses;
     private boolean skipping;
@@ -47,16 +50,23 @@
     }
 
     private Optional<String> addHead(HttpResponse head) {
-        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            skipping = true;
-            informationalResponses++;
-            return informationalResponses > MAX_INFORMATIONAL_RESPONSES
-                    ? Optional.of("informational responses without end")
-                    : Optional.empty();
-        }
-        status = head.status().code();
-        keepAlive = HttpUtil.isKeepAlive(head);
-        return Optional.empty();
+        return switch (HeadVerdict.ofCall(ResponseHeads.withoutIds(head))) {
+            case HeadVerdict.Answer answer -> {
+                framing = answer.framing();
+                status = head.status().code();
+                keepAlive = HttpUtil.isKeepAlive(head) && framing != ResponseFraming.CONNECTION;
+                yield Optional.empty();
+            }
+            case HeadVerdict.Informational informational -> {
+                skipping = true;
+                informationalResponses++;
+                yield informationalResponses > MAX_INFORMATIONAL_RESPONSES
+                        ? Optional.of("informational responses without end")
+                        : Optional.empty();
+            }
+            case HeadVerdict.LateCopy copy -> Optional.of("response to another call");
+            case HeadVerdict.Improper improper -> Optional.of(improper.reason());
+        };
     }
 
     private Optional<String> addContent(HttpContent content) {
@@ -70,7 +80,9 @@
         }
         body.writeBytes(ByteBufUtil.getBytes(content.content()));
         complete = last;
-        return Optional.empty();
+        return last && framing == ResponseFraming.CONNECTION && !JsonDocument.isWhole(body.toByteArray())
+                ? Optional.of("the connection ended within the response")
+                : Optional.empty();
     }
 
     /** Returns whether the response has been read to its end. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutReplyTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutReplyTest.java
@@ -28,7 +28,8 @@
         String inChunks = STATUS_LINE + "Transfer-Encoding: chunked\r\n\r\n8\r\n" + BODY.substring(0, 8) + "\r\n"
                 + Integer.toHexString(BODY.length() - 8) + "\r\n" + BODY.substring(8) + "\r\n0\r\n\r\n";
         String headOnly = STATUS_LINE + "Content-Type: application/json\r\n\r";
-        return Stream.of(withLength, inChunks, headOnly, "HTTP/1.1 102 Processing\r\n\r\n" + withLength)
+        String withoutLength = STATUS_LINE + "Content-Type: application/json\r\n\r\n" + BODY;
+        return Stream.of(withLength, inChunks, headOnly, withoutLength, "HTTP/1.1 102 Processing\r\n\r\n" + withLength)
                 .flatMap(text -> Stream.of(End.values()).map(end -> Arguments.of(text, end)));
     }
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -53,6 +53,22 @@
      * @return whether it answers the request
      */
     static HeadVerdict of(ResponseHead head, ExpectedResponse request) {
+        HeadVerdict verdict = ofFraming(head, request.bodiless());
+        return verdict instanceof Answer answer ? ofIds(head, request, answer) : verdict;
+    }
+
+    /**
+     * Decides about the head of a response to a call that carries no id and asks for a body. Such a response shows only
+     * by its place on the connection which call it answers.
+     *
+     * @param head the head
+     * @return whether it may answer the call
+     */
+    static HeadVerdict ofCall(ResponseHead head) {
+        return ofFraming(head, false);
+    }
+
+    private static HeadVerdict ofFraming(ResponseHead head, boolean bodiless) {
         if (head.status() < FIRST_FINAL_STATUS) {
             return head.status() == SWITCHING_PROTOCOLS
                     ? new Improper("switch to a protocol that nobody asked for")
@@ -64,12 +80,16 @@
         if (!isPlain(head.contentCodings())) {
             return new Improper("encoded body");
         }
+        return new Answer(framing(head, bodiless));
+    }
+
+    private static HeadVerdict ofIds(ResponseHead head, ExpectedResponse request, Answer answer) {
         if (head.requestIds().size() > 1 || head.seals().size() > 1) {
             return new Improper("more than one request id or seal");
         }
         return head.requestIds().isEmpty()
-                ? withoutId(head, request)
-                : withId(head, head.requestIds().getFirst(), request);
+                ? withoutId(head, request, answer)
+                : withId(head, head.requestIds().getFirst(), request, answer);
     }
 
     private static boolean hasKnownFraming(ResponseHead head) {
@@ -87,32 +107,30 @@
     }
 
     /** An upstream may reject a request without having read its id, which can only be the first of a connection. */
-    private static HeadVerdict withoutId(ResponseHead head, ExpectedResponse request) {
+    private static HeadVerdict withoutId(ResponseHead head, ExpectedResponse request, Answer answer) {
         if (!request.earlierIds().isEmpty()) {
             return new Improper("response without a request id on a reused connection");
         }
-        return head.success() ? new Improper("successful response without a request id") : answer(head, request);
+        return head.success() ? new Improper("successful response without a request id") : answer;
     }
 
-    private static HeadVerdict withId(ResponseHead head, String id, ExpectedResponse request) {
+    private static HeadVerdict withId(ResponseHead head, String id, ExpectedResponse request, Answer answer) {
         if (id.equals(request.requestId())) {
             boolean sealed = head.seals().stream().anyMatch(seal -> !seal.isBlank());
-            return head.success() && !sealed
-                    ? new Improper("successful response without a seal")
-                    : answer(head, request);
+            return head.success() && !sealed ? new Improper("successful response without a seal") : answer;
         }
         return !id.isBlank() && request.earlierIds().contains(id)
                 ? new LateCopy(id)
                 : new Improper("response to a request that was not sent on the connection");
     }
 
-    private static HeadVerdict answer(ResponseHead head, ExpectedResponse request) {
-        if (request.bodiless() || STATUSES_WITHOUT_BODY.contains(head.status())) {
-            return new Answer(ResponseFraming.NO_BODY);
+    private static ResponseFraming framing(ResponseHead head, boolean bodiless) {
+        if (bodiless || STATUSES_WITHOUT_BODY.contains(head.status())) {
+            return ResponseFraming.NO_BODY;
         }
         if (!head.transferCodings().isEmpty()) {
-            return new Answer(ResponseFraming.CHUNKS);
+            return ResponseFraming.CHUNKS;
         }
-        return new Answer(head.lengths().isEmpty() ? ResponseFraming.CONNECTION : ResponseFraming.LENGTH);
+        return head.lengths().isEmpty() ? ResponseFraming.CONNECTION : ResponseFraming.LENGTH;
     }
 }
