Make calls that trust their reply alone on new connections

Cause: a second response to one call that arrives alone while the next call of the connection is in progress is taken for the response to that one. For most calls the effect is read again or the reply says what it describes; for four it is acted upon as it is. A hold that was refused counted as accepted, and ranks are armed once a hold is accepted; the list of experts of one epoch was taken for that of the next; a quarantine that the store had refused counted as stored, and a gateway as registered.

Change: SerialHttpConnection.callOnNewConnection closes the connection and opens another, on which no second response can come before the response. Holds, reads of the experts of a rank, and writes to the store (registration of a gateway, quarantines) use it.

Weighed, by the load that each choice answers: - Holds, one for each map change: the engine answers twice, and the group would begin a pass with two maps. One more connection a change. - The other orders: their effect is read from the next report (prepared and armed versions are new for each change, a release counts once the report doesn't show the hold), so a wrong reply costs a repeated order. They keep their connection: an engine with a long queue resets new ones, and a release that can't get through keeps the queue long. - Reports and counters, 5 to 50 a second for each engine: they say what they describe and are taken to be some hundred milliseconds old. A connection for each would be priced and may hold a slot of the engine. - Lists of experts, once for each map of a rank: they don't say which epoch they describe. One more connection each. - Reads of the store: a watch says from which revision to go on, a listing that is not one is refused as malformed, and the store isn't known to answer twice; a connection for each would lose calls on lossy links. They keep their connection. - Writes to the store: a few in the life of a process.

The number of calls to the store and of orders stays as it was.

Conclusion: for calls that keep their connection, a second response that arrives alone during the next call is still taken for its reply. The response that follows it comes while no call is in progress and closes the connection, unless the next call has begun at once.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
@@ -55,7 +55,7 @@
     /** Registers this gateway, then lists the others periodically. */
     void start() {
         byte[] body = dialect.registration(name, ownAddress);
-        connection.call(HttpMethod.POST, dialect.createTarget(), body, TIMEOUT_MS, reply -> {
+        connection.callOnNewConnection(HttpMethod.POST, dialect.createTarget(), body, TIMEOUT_MS, reply -> {
             switch (reply) {
                 case HttpReply.Response response when response.ok() || response.status() == STATUS_CREATED -> list();
                 case HttpReply.Response response when response.status() == STATUS_CONFLICT -> replace(body);
@@ -67,7 +67,7 @@
     }
 
     private void replace(byte[] body) {
-        connection.call(HttpMethod.PUT, dialect.replaceTarget(name), body, TIMEOUT_MS, reply -> {
+        connection.callOnNewConnection(HttpMethod.PUT, dialect.replaceTarget(name), body, TIMEOUT_MS, reply -> {
             switch (reply) {
                 case HttpReply.Response response when response.ok() -> list();
                 case HttpReply.Response response ->
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QuarantineStore.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QuarantineStore.java
@@ -97,14 +97,14 @@
             case ListAll list ->
                 connection.call(HttpMethod.GET, dialect.relaxedListTarget(), NO_BODY, TIMEOUT_MS, this::onReply);
             case Save save ->
-                connection.call(
+                connection.callOnNewConnection(
                         HttpMethod.POST,
                         dialect.createTarget(),
                         dialect.encode(save.prompt),
                         TIMEOUT_MS,
                         this::onReply);
             case Delete delete ->
-                connection.call(
+                connection.callOnNewConnection(
                         HttpMethod.DELETE,
                         dialect.deleteTarget(delete.prompt.objectName()),
                         NO_BODY,
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/SerialHttpConnection.java
@@ -30,8 +30,10 @@
  *
  * <p>It is opened when a call needs it and closed when a call times out, because a connection that has stopped
  * responding does not recover. Responses don't say which call they answer. Bytes that arrive while no call is in
- * progress therefore close the connection, and a call is lost if bytes follow its response in the same read. All
- * methods are called on the event loop.
+ * progress therefore close the connection, and a call is lost if bytes follow its response in the same read. A second
+ * response to one call that arrives later, alone and while the next call is in progress, is taken for the response to
+ * that one, so calls whose replies don't show what they answer use {@link #callOnNewConnection}. All methods are called
+ * on the event loop.
  */
 public final class SerialHttpConnection {
 
@@ -85,6 +87,24 @@
         }
     }
 
+    /**
+     * Starts a call on a connection that has carried no other, and keeps it for later calls. It is for calls after
+     * which the caller acts upon a reply that nothing else confirms.
+     *
+     * @param method HTTP method
+     * @param target request target
+     * @param body JSON body, may be empty
+     * @param timeoutMs maximum time to the complete response, in milliseconds
+     * @param onReply receives the result, exactly once
+     */
+    public void callOnNewConnection(
+            HttpMethod method, String target, byte[] body, long timeoutMs, Consumer<HttpReply> onReply) {
+        if (current == null) {
+            closeChannel();
+        }
+        call(method, target, body, timeoutMs, onReply);
+    }
+
     /** Closes the connection. A call in progress ends with {@link HttpReply.Lost}. */
     public void close() {
         Call call = current;
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/EngineOrderSender.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/EngineOrderSender.java
@@ -99,7 +99,7 @@
         inProgress = true;
         long sentMs = clock.steadyMs();
         long timeoutMs = timeoutMs(order);
-        connection.call(HttpMethod.POST, dialect.orderTarget(), dialect.writeOrder(order, epoch), timeoutMs, reply -> {
+        Consumer<HttpReply> onReply = reply -> {
             inProgress = false;
             String outcome = switch (reply) {
                 case HttpReply.Response answer -> "status " + answer.status();
@@ -117,7 +117,14 @@
             if (reply instanceof HttpReply.Response answer) {
                 onAnswer.accept(answer.status() == STATUS_OK || answer.status() == STATUS_ACCEPTED);
             }
-        });
+        };
+        byte[] body = dialect.writeOrder(order, epoch);
+        if (order instanceof EngineOrder.Hold) {
+            // Ranks are armed once a hold is accepted; the effects of the other orders are read from reports.
+            connection.callOnNewConnection(HttpMethod.POST, dialect.orderTarget(), body, timeoutMs, onReply);
+        } else {
+            connection.call(HttpMethod.POST, dialect.orderTarget(), body, timeoutMs, onReply);
+        }
     }
 
     private static long timeoutMs(EngineOrder order) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/ExpertReader.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/ExpertReader.java
@@ -53,7 +53,8 @@
             return;
         }
         callInProgress = true;
-        connection.call(HttpMethod.GET, dialect.expertsTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
+        // The list doesn't say which epoch it belongs to.
+        connection.callOnNewConnection(HttpMethod.GET, dialect.expertsTarget(), NO_BODY, CALL_TIMEOUT_MS, reply -> {
             callInProgress = false;
             replyReader.read(reply, "experts", dialect::readExperts).ifPresent(reported -> {
                 Arrays.stream(reported.bySet()).forEach(Arrays::sort);
