--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
@@ -21,9 +21,6 @@
      */
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
-    /** Maximum number of informational responses to a call; a server in trouble may send them without end. */
-    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
-
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ResponseFraming framing = ResponseFraming.NO_BODY;
     private int status;
@@ -60,7 +57,7 @@
             case HeadVerdict.Informational informational -> {
                 skipping = true;
                 informationalResponses++;
-                yield informationalResponses > MAX_INFORMATIONAL_RESPONSES
+                yield informationalResponses > HeadVerdict.Informational.MAX_RESPONSES
                         ? Optional.of("informational responses without end")
                         : Optional.empty();
             }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -31,9 +31,6 @@
     /** Fraction of the upstream's idle timeout for which a connection is reused; the rest allows for network delays. */
     private static final double IDLE_TIMEOUT_FRACTION = 0.8;
 
-    /** Maximum number of informational responses to a request; an upstream in trouble may send them without end. */
-    private static final int MAX_INFORMATIONAL_RESPONSES = 16;
-
     /** Maximum size of the responses to other requests that are skipped while one request is in progress. */
     private static final long MAX_SKIPPED_BYTES = 256 << 10;
 
@@ -150,8 +147,8 @@
             case HeadVerdict.Informational informational -> {
                 skipping = true;
                 informationalResponses++;
-                if (informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
-                    fail("more than " + MAX_INFORMATIONAL_RESPONSES + " informational responses");
+                if (informationalResponses > HeadVerdict.Informational.MAX_RESPONSES) {
+                    fail("more than " + HeadVerdict.Informational.MAX_RESPONSES + " informational responses");
                 }
             }
             case HeadVerdict.LateCopy copy -> {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -20,7 +20,11 @@
     record Answer(ResponseFraming framing) implements HeadVerdict {}
 
     /** The final response is still to come. */
-    record Informational() implements HeadVerdict {}
+    record Informational() implements HeadVerdict {
+
+        /** Maximum number of informational responses to a request; a server in trouble may send them without end. */
+        public static final int MAX_RESPONSES = 16;
+    }
 
     /**
      * A second response to an earlier request of the connection, which is passed over.
