Give each request to an upstream a connection of its own

Cause: the agent returned a connection to the pool of its HTTP client after a response and took the next response that came on it for the one to the next request. Upstreams need not name the request that they answer, the agent compared no ids, and the client discards without a word what arrives between two requests. So a second copy of a response that came late was reported as the complete response to the next request: a foreign body, or a rejection for an order that the upstream ran; half of a copy broke the next response.

Change: no connection is used for a second request. The header Connection is sent as before; the agent closes the connection itself after the response.

Conclusion: bytes of one request can no longer reach another one. The price is one TCP connection a request on the way from the agent to its upstream, which is on the same VM; it was not measured.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -11,7 +11,7 @@
 import org.kingcuproad.runtime.trace.Tracing;
 import org.kingcuproad.wire.proto.Dispatch;
 
-/** HTTP client of the local upstream. */
+/** HTTP client of the local upstream. Each request has a connection of its own, which is closed after the response. */
 final class UpstreamClient {
 
     private static final String REQUEST_ID = "X-Request-Id";
@@ -22,10 +22,6 @@
 
     private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(2);
 
-    // Shorter than the idle timeout of common servers, so that a request is rarely sent on a connection that the server
-    // is closing.
-    private static final Duration POOLED_CONNECTION_IDLE = Duration.ofSeconds(4);
-
     /** Maximum size of a control response, which is buffered; an engine in trouble may send one without end. */
     private static final long MAX_CONTROL_BODY_BYTES = 4 << 20;
 
@@ -42,7 +38,10 @@
                 .setConnectTimeout(Duration.ofMillis(timing.connectLimitMs()))
                 .setRequestTimeout(NO_TIMEOUT)
                 .setReadTimeout(NO_TIMEOUT)
-                .setPooledConnectionIdleTimeout(POOLED_CONNECTION_IDLE)
+                // Upstreams need not name the request that they answer, so only the connection can tell. The client
+                // also
+                // discards what arrives between two requests, so a late copy could not be seen.
+                .setKeepAliveStrategy((address, request, sent, response) -> false)
                 // A retry by the client could execute a request twice, so every failure is reported to the run.
                 .setMaxRequestRetry(0)
                 .setFollowRedirect(false)
