Say why a call of an agent test closed

Change: the assertion error has the status of the call as its cause.

Conclusion: the failure isn't traced; the next one will name its reason.

--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ExecuteClient.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ExecuteClient.java
@@ -28,6 +28,7 @@
     private final ScheduledExecutorService heartbeats = Executors.newSingleThreadScheduledExecutor();
     private final StreamObserver<ExecuteRequest> requests;
     private final LinkedBlockingQueue<ExecuteResponse> responses = new LinkedBlockingQueue<>();
+    private volatile @Nullable Throwable failure;
 
     ExecuteClient(int port) {
         channel =
@@ -102,6 +103,12 @@
         return response == CLOSED ? null : response;
     }
 
+    /** Returns why the call failed, or null if it has not. */
+    @Nullable
+    Throwable failure() {
+        return failure;
+    }
+
     @Override
     public void onNext(ExecuteResponse response) {
         if (!response.hasHeartbeat()) {
@@ -110,7 +117,8 @@
     }
 
     @Override
-    public void onError(Throwable failure) {
+    public void onError(Throwable cause) {
+        failure = cause;
         responses.add(CLOSED);
     }
 
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
@@ -25,7 +25,7 @@
         for (int count = 0; count < messages; count++) {
             ExecuteResponse response = client.next();
             if (response == null) {
-                throw new AssertionError("the call closed before the end of the response");
+                throw new AssertionError("the call closed before the end of the response", client.failure());
             }
             handle(response);
             if (ended()) {
