Judge the first line of an upstream's response before the client reads it

Cause: the agent believed the head that its HTTP client reports, and the client repairs first lines that the protocol doesn't have: 'HTTP/1.1 2000 OK' was passed on with status 2000, '+200' and 'HTTP/9.9 200' as 200, and line ends before the head were skipped. A response with status 101, which nobody asked for, was complete, and an informational response (102, 103) was taken for the final one, so the caller got its status and never the response.

Change: ResponseHeadHandler holds the bytes of a response back until its head is whole. Both faults are one commit because they are one decision: which first line begins the final response.

Conclusion: the client can't show the first line as it was received, so it is read before the client.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -49,7 +49,7 @@
                 .setCookieStore(null)
                 .setTcpNoDelay(true)
                 .setHttpAdditionalChannelInitializer(
-                        channel -> channel.pipeline().addFirst(new ReadPauseHandler()))
+                        channel -> channel.pipeline().addFirst(new ReadPauseHandler(), new ResponseHeadHandler()))
                 .build());
     }
 
