Take no response with unknown transfer codings for whole

Cause: the agent asked whether one of the transfer codings that its HTTP client reports is 'chunked', so 'gzip, chunked', 'chunked, chunked' and two such headers were complete responses, whose bodies the client had decoded once. The header is not passed on, so the caller took what was left for the body.

Change: UpstreamResponseRule translates the head as received for HeadVerdict, which knows no coding but 'chunked', without a length beside it. How the body ends is decided there once; UpstreamHandler's own rule is removed.

Evidence: ImproperUpstreamResponseTest, the cases 'second transfer coding', 'chunked twice' and 'chunked in two headers' were complete with status 200 before; they pass. 'xchunked', 'identity', a length beside chunks, two lengths and lengths that are no number were refused before as well. A body with Content-Encoding is passed on with the header, since the caller's Accept-Encoding is passed on, too.

Conclusion: no path from a head to a complete response is left that HeadVerdict has not judged.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/RawResponseHead.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/RawResponseHead.java
@@ -1,10 +1,9 @@
 package org.kingcuproad.agent;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.kingcuproad.policy.gateway.HeadVerdict;
-import org.kingcuproad.policy.gateway.StatusLine;
 
 /**
  * A response head as the upstream sent it.
@@ -40,22 +39,31 @@
         return Optional.empty();
     }
 
-    /** Returns whether the final response is still to come. */
-    boolean informational() {
-        return status() < HeadVerdict.FIRST_FINAL_STATUS;
+    /** Returns the status; the first line must be a valid status line. */
+    int status() {
+        return Integer.parseInt(lines.getFirst().substring(STATUS_START, STATUS_START + STATUS_DIGITS));
     }
 
-    /** Returns what makes this no head of a response to a request of the agent, or empty. */
-    Optional<String> fault() {
-        if (!StatusLine.isValid(lines.getFirst())) {
-            return Optional.of("no status line of HTTP/1");
+    /**
+     * Returns the values of a header, one for each time it occurs, in their order. A line that begins with white space
+     * belongs to the value before it.
+     *
+     * @param name name of the header, in any case
+     * @return its values, without white space around them
+     */
+    List<String> values(String name) {
+        List<String> fields = new ArrayList<>();
+        for (String line : lines.subList(1, lines.size())) {
+            if ((line.startsWith(" ") || line.startsWith("\t")) && !fields.isEmpty()) {
+                fields.add(fields.removeLast() + line);
+            } else {
+                fields.add(line);
+            }
         }
-        return status() == HeadVerdict.SWITCHING_PROTOCOLS
-                ? Optional.of("switch to a protocol that nobody asked for")
-                : Optional.empty();
-    }
-
-    private int status() {
-        return Integer.parseInt(lines.getFirst().substring(STATUS_START, STATUS_START + STATUS_DIGITS));
+        return fields.stream()
+                .map(field -> field.split(":", 2))
+                .filter(field -> field.length == 2 && field[0].strip().equalsIgnoreCase(name))
+                .map(field -> field[1].strip())
+                .toList();
     }
 }
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/ResponseHeadHandler.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/ResponseHeadHandler.java
@@ -9,6 +9,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.Set;
+import org.kingcuproad.policy.gateway.ExpectedResponse;
+import org.kingcuproad.policy.gateway.HeadVerdict;
+import org.kingcuproad.policy.gateway.ResponseFraming;
 
 /**
  * Holds back the bytes of a response until its head is judged. Informational responses go no further, and after an
@@ -27,6 +31,8 @@
 
     private final ByteArrayOutputStream received = new ByteArrayOutputStream();
     private State state = State.IN_HEAD;
+    private ExpectedResponse request = new ExpectedResponse("", false, Set.of());
+    private ResponseFraming framing = ResponseFraming.CONNECTION;
     private int skippedBytes;
 
     private enum State {
@@ -35,6 +41,20 @@
         REJECTED
     }
 
+    /**
+     * Sets the only request of the connection, before it is sent.
+     *
+     * @param expected the request
+     */
+    void expect(ExpectedResponse expected) {
+        request = expected;
+    }
+
+    /** Returns how the response says where its body ends. */
+    ResponseFraming framing() {
+        return framing;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws IOException {
         if (state == State.ACCEPTED || !(message instanceof ByteBuf data)) {
@@ -66,19 +86,21 @@
         int start = 0;
         Optional<RawResponseHead> head = RawResponseHead.read(bytes, start);
         while (head.isPresent()) {
-            RawResponseHead current = head.get();
-            Optional<String> fault = current.fault();
-            if (fault.isPresent()) {
-                reject(context, fault.get());
-                return;
+            switch (UpstreamResponseRule.verdict(head.get(), request)) {
+                case HeadVerdict.Answer answer -> {
+                    accept(context, answer.framing(), Unpooled.wrappedBuffer(bytes, start, bytes.length - start));
+                    return;
+                }
+                case HeadVerdict.Improper improper -> {
+                    reject(context, improper.reason());
+                    return;
+                }
+                case HeadVerdict.LateCopy copy -> {
+                    reject(context, "response to request " + copy.requestId());
+                    return;
+                }
+                case HeadVerdict.Informational ignored -> start = head.get().end();
             }
-            if (!current.informational()) {
-                state = State.ACCEPTED;
-                received.reset();
-                context.fireChannelRead(Unpooled.wrappedBuffer(bytes, start, bytes.length - start));
-                return;
-            }
-            start = current.end();
             head = RawResponseHead.read(bytes, start);
         }
         skippedBytes += start;
@@ -86,6 +108,13 @@
         received.write(bytes, start, bytes.length - start);
     }
 
+    private void accept(ChannelHandlerContext context, ResponseFraming acceptedFraming, ByteBuf response) {
+        state = State.ACCEPTED;
+        framing = acceptedFraming;
+        received.reset();
+        context.fireChannelRead(response);
+    }
+
     private void reject(ChannelHandlerContext context, String reason) {
         state = State.REJECTED;
         received.reset();
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamClient.java
@@ -4,10 +4,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Set;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.RequestBuilder;
+import org.kingcuproad.policy.gateway.ExpectedResponse;
 import org.kingcuproad.runtime.trace.Tracing;
 import org.kingcuproad.wire.proto.Dispatch;
 
@@ -16,6 +18,9 @@
 
     private static final String REQUEST_ID = "X-Request-Id";
 
+    /** Control requests carry no id. */
+    private static final String NO_REQUEST_ID = "";
+
     // The run enforces the deadline and the idle timeout. A negative value disables the timeout; the client treats zero
     // as an immediate timeout.
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
@@ -65,7 +70,8 @@
         if (!dispatch.getBody().isEmpty()) {
             request.setBody(dispatch.getBody().toByteArray());
         }
-        UpstreamHandler handler = new UpstreamHandler(listener, UNLIMITED_BYTES);
+        UpstreamHandler handler =
+                new UpstreamHandler(listener, expected(dispatch.getMethod(), dispatch.getRequestId()), UNLIMITED_BYTES);
         client.executeRequest(request.build(), handler);
         return handler;
     }
@@ -77,7 +83,13 @@
         if (body.length > 0) {
             request.setHeader(HttpHeaderNames.CONTENT_TYPE, "application/json").setBody(body);
         }
-        client.executeRequest(request.build(), new UpstreamHandler(listener, MAX_CONTROL_BODY_BYTES));
+        client.executeRequest(
+                request.build(),
+                new UpstreamHandler(listener, expected(method, NO_REQUEST_ID), MAX_CONTROL_BODY_BYTES));
+    }
+
+    private static ExpectedResponse expected(String method, String requestId) {
+        return new ExpectedResponse(requestId, method.equals("HEAD"), Set.of());
     }
 
     void close() throws IOException {
--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamHandler.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.agent;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -14,6 +15,8 @@
 import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.netty.request.NettyRequest;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.gateway.ExpectedResponse;
+import org.kingcuproad.policy.gateway.ResponseFraming;
 
 /** Forwards the events of one upstream response to its listener, and pauses and resumes reading. */
 final class UpstreamHandler implements AsyncHandler<Boolean>, UpstreamCall {
@@ -21,23 +24,25 @@
     private static final long LENGTH_NOT_DECLARED = -1;
 
     private final UpstreamListener listener;
+    private final ExpectedResponse expected;
     private final long maxBodyBytes;
     private @Nullable Channel channel;
     private int status;
     private long declaredLength = LENGTH_NOT_DECLARED;
     private long receivedLength;
     private boolean headReceived;
-    private boolean delimited;
     private boolean ended;
 
     /**
      * Creates a handler of one response.
      *
      * @param listener receives the response
+     * @param expected the request that the response has to answer
      * @param maxBodyBytes size of the body from which the response fails
      */
-    UpstreamHandler(UpstreamListener listener, long maxBodyBytes) {
+    UpstreamHandler(UpstreamListener listener, ExpectedResponse expected, long maxBodyBytes) {
         this.listener = listener;
+        this.expected = expected;
         this.maxBodyBytes = maxBodyBytes;
     }
 
@@ -72,8 +77,6 @@
         headReceived = true;
         String contentLength = headers.get(HttpHeaderNames.CONTENT_LENGTH);
         declaredLength = contentLength == null ? LENGTH_NOT_DECLARED : Long.parseLong(contentLength.strip());
-        boolean chunked = headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, "chunked", true);
-        delimited = chunked || contentLength != null || hasNoBody(status);
         List<Map.Entry<String, String>> forwardedHeaders = headers.entries().stream()
                 .filter(header -> !UnforwardedHeaders.contains(header.getKey()))
                 .toList();
@@ -106,7 +109,7 @@
         }
         receiveEmptyHead();
         ended = true;
-        if (!delimited) {
+        if (framing() == ResponseFraming.CONNECTION) {
             listener.onFailure(new IOException(
                     "the response has neither Content-Length nor chunked encoding, so its end cannot be verified"));
         } else if (declaredLength > receivedLength && receivedLength > 0) {
@@ -134,12 +137,12 @@
 
     @Override
     public void pauseReading() {
-        readPauseHandler().ifPresent(ReadPauseHandler::pause);
+        handler(ReadPauseHandler.class).ifPresent(ReadPauseHandler::pause);
     }
 
     @Override
     public void resumeReading() {
-        readPauseHandler().ifPresent(ReadPauseHandler::resume);
+        handler(ReadPauseHandler.class).ifPresent(ReadPauseHandler::resume);
     }
 
     @Override
@@ -152,21 +155,24 @@
 
     private void useChannel(Channel connected) {
         channel = connected;
+        handler(ResponseHeadHandler.class).ifPresent(handler -> handler.expect(expected));
         if (ended) {
             connected.close();
         }
     }
 
-    private Optional<ReadPauseHandler> readPauseHandler() {
+    private ResponseFraming framing() {
+        return handler(ResponseHeadHandler.class)
+                .map(ResponseHeadHandler::framing)
+                .orElse(ResponseFraming.CONNECTION);
+    }
+
+    private <T extends ChannelHandler> Optional<T> handler(Class<T> type) {
         return Optional.ofNullable(channel)
-                .map(connected -> connected.pipeline().get(ReadPauseHandler.class));
+                .map(connected -> connected.pipeline().get(type));
     }
 
     private State nextState() {
         return ended ? State.ABORT : State.CONTINUE;
     }
-
-    private static boolean hasNoBody(int status) {
-        return status == 204 || status == 304;
-    }
 }
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ImproperUpstreamResponseTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ImproperUpstreamResponseTest.java
@@ -45,6 +45,9 @@
                 Arguments.of("switch of protocols before the response", "HTTP/1.1 101 X\r\n\r\n" + OK),
                 coding("unknown transfer coding", "Transfer-Encoding: xchunked"),
                 coding("identity transfer coding", "Transfer-Encoding: identity"),
+                coding("second transfer coding", "Transfer-Encoding: gzip, chunked"),
+                coding("chunked twice", "Transfer-Encoding: chunked, chunked"),
+                coding("chunked in two headers", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked"),
                 coding("length and chunks", "Content-Length: 4\r\nTransfer-Encoding: chunked"),
                 Arguments.of("chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + CHUNKED_BODY),
                 header("two lengths", "Content-Length: 5"),
@@ -83,4 +86,12 @@
     void theProperResponseIsComplete() throws Exception {
         assertThat(read(OK).text()).isEqualTo("body");
     }
+
+    /** The caller says which codings it accepts. */
+    @Test
+    void anEncodedBodyIsPassedOn() throws Exception {
+        assertThat(read(OK.replace(LENGTH, LENGTH + "Content-Encoding: gzip\r\n"))
+                        .text())
+                .isEqualTo("body");
+    }
 }
