Take no response that names another request for the response to this one

Cause: upstreams get the request id in X-Request-Id and may send it back; the agent passed the header on without a look. A response that bore another id, two ids or an empty one was complete.

Change: UpstreamResponseRule hands the ids that a response bears to HeadVerdict, which takes only the id of the request itself. A response without an id still answers the only request of its connection; responses to control requests, which have no id, may bear any. docs/design.md, section 10, says so.

Evidence: ImproperUpstreamResponseTest, 3 of 30 cases failed before (complete, status 200); 30 of 30 pass, among them a response that bears the id of its request.

Conclusion: a response that says that it belongs to another request is lost and may have run. An upstream that puts ids of its own into X-Request-Id can't be served any more.

--- a/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamResponseRule.java
+++ b/kingcuproad-agent/src/main/java/org/kingcuproad/agent/UpstreamResponseRule.java
@@ -10,10 +10,11 @@
  * Decides whether the head of an upstream's response answers the request of its connection.
  *
  * <p>Upstreams of the agent send no seal, need not send a request id, and may encode a body as the caller permits. Each
- * connection carries one request, so a response without an id answers that request.
+ * connection carries one request, so a response without an id answers that request; one with another id does not.
  */
 final class UpstreamResponseRule {
 
+    private static final String REQUEST_ID = "x-request-id";
     private static final String NO_SEAL = "none";
 
     private UpstreamResponseRule() {}
@@ -31,11 +32,18 @@
         }
         ResponseHead response = new ResponseHead(
                 head.status(),
-                List.of(request.requestId()),
+                requestIds(head, request),
                 List.of(NO_SEAL),
                 head.values("transfer-encoding"),
                 head.values("content-length"),
                 List.of());
         return HeadVerdict.of(response, request);
     }
+
+    /** A control request has no id, so whatever its response bears names no other request. */
+    private static List<String> requestIds(RawResponseHead head, ExpectedResponse request) {
+        List<String> received = head.values(REQUEST_ID);
+        boolean unnamed = received.isEmpty() || request.requestId().isEmpty();
+        return unnamed ? List.of(request.requestId()) : received;
+    }
 }
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ImproperUpstreamResponseTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ImproperUpstreamResponseTest.java
@@ -54,6 +54,9 @@
                 header("length of no number", "Content-Length: x"),
                 header("length with a sign", "Content-Length: +4"),
                 Arguments.of("only a length with a sign", OK.replace("Length: 4", "Length: +4")),
+                header("id of another request", "X-Request-Id: other"),
+                header("two ids", "X-Request-Id: r-1\r\nX-Request-Id: other"),
+                header("empty id", "X-Request-Id:"),
                 Arguments.of("nothing but a length that is not zero", STATUS_LINE + "\r\n" + LENGTH + "\r\n"));
     }
 
@@ -87,6 +90,12 @@
         assertThat(read(OK).text()).isEqualTo("body");
     }
 
+    @Test
+    void theResponseThatNamesItsRequestIsComplete() throws Exception {
+        assertThat(read(OK.replace(LENGTH, LENGTH + "x-request-id: r-1\r\n")).text())
+                .isEqualTo("body");
+    }
+
     /** The caller says which codings it accepts. */
     @Test
     void anEncodedBodyIsPassedOn() throws Exception {
