Deliver failures without a body, and keep no connection after HEAD

A failure without body and length was answered 502 instead of being delivered; a failure can't be a false success, so its head is enough when no body has begun. A second response to a HEAD request was read with the body of the next one, so its connection is closed. A success that says that the request was not run is lost instead of a promise. A response that can't be replaced and whose end isn't confirmed is probed once, not twice.

The retry decision, the log of responses and the judgement of unusable responses have classes of their own.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
@@ -12,7 +11,6 @@
 import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.EventStreamParser;
-import org.kingcuproad.policy.gateway.JsonDocument;
 import org.kingcuproad.policy.gateway.ResponseEnd;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -172,8 +170,8 @@
         detached = true;
     }
 
-    void onMismatchedResponse(String responseId, HttpResponse response) {
-        dispatcher.onMismatchedResponse(this, responseId, response);
+    void onSkippedResponse(String responseId, HttpResponse response) {
+        dispatcher.responses().onSkipped(this, responseId, response);
     }
 
     void onHead(HttpResponse response, ResponseFraming responseFraming) {
@@ -183,15 +181,9 @@
         if (succeeded()) {
             dispatcher.framingHabit().onResponse(responseFraming);
         }
-        HttpResponseStatus status = response.status();
-        boolean notExecuted = response.headers().contains(dispatcher.names().notExecuted());
-        if (notExecuted || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-            discardOutcome = new AttemptOutcome.NotRun(
-                    "status " + status.code(), status.equals(HttpResponseStatus.MISDIRECTED_REQUEST));
-        } else if (exchange.headSent() && !isEventStream(response)) {
-            discardOutcome =
-                    new AttemptOutcome.Lost("status " + status.code() + " and no events when resuming the stream");
-        }
+        boolean resumeIgnored = exchange.headSent() && !isEventStream(response);
+        discardOutcome =
+                UnusableResponse.of(response, dispatcher.names(), resumeIgnored).orElse(null);
         if (discardOutcome instanceof AttemptOutcome.Lost lost && !detached) {
             // Nothing that follows can be used, and an upstream in trouble may send it without end.
             closeConnection();
@@ -354,13 +346,14 @@
             return;
         }
         AttemptOutcome discarded = discardOutcome;
-        if (detached) {
+        HttpResponse response = head;
+        if (detached || response == null) {
             end();
         } else if (discarded != null) {
             end();
             dispatcher.onOutcome(this, discarded);
         } else {
-            switch (ResponseEnd.of(endedResponse(requestWritten), dispatcher.nowMs())) {
+            switch (ResponseEnd.of(endedResponse(response, requestWritten), dispatcher.nowMs())) {
                 case ResponseEnd.Complete end -> {
                     endProven = true;
                     complete(end.evidence());
@@ -372,31 +365,26 @@
         }
     }
 
-    private EndedResponse endedResponse(boolean requestWritten) {
+    private EndedResponse endedResponse(HttpResponse response, boolean requestWritten) {
         ForwardedResponse forwarded = exchange.forwarded();
         EndedResponse.Events events = mode == ResponseMode.EVENTS
                 ? new EndedResponse.Events(
                         true, parser.hasPartialEvent(), exchange.headSent(), advanced, forwarded.endedAfterLastEvent())
                 : EndedResponse.Events.NONE;
         return new EndedResponse(
+                succeeded(),
                 framing,
                 requestWritten,
                 receivedBytes > 0,
-                framing == ResponseFraming.CONNECTION && isWholeDocument(),
+                mode == ResponseMode.BUFFERED
+                        && framing == ResponseFraming.CONNECTION
+                        && BufferedResponse.isWholeDocument(response, buffered.toByteArray()),
                 dispatcher.framingHabit().endsWithConnection(),
                 dispatcher.anyRankCrashed(),
                 exchange.deadlineMs(),
                 events);
     }
 
-    private boolean isWholeDocument() {
-        HttpResponse response = head;
-        return response != null
-                && mode == ResponseMode.BUFFERED
-                && JsonDocument.isMediaType(response.headers().get(HttpHeaderNames.CONTENT_TYPE, ""))
-                && JsonDocument.isWhole(buffered.toByteArray());
-    }
-
     /**
      * Finds out whether the upstream has crashed.
      *
@@ -435,16 +423,18 @@
     private void onUnconfirmedEnd() {
         exchange.forwarded().onUnconfirmedEnd();
         String reason = "the response states no end, and its connection ended";
-        end();
-        dispatcher.onOutcome(
-                this,
-                replaceable() ? new AttemptOutcome.Unconfirmed(reason) : new AttemptOutcome.BrokenOff(reason, true));
+        if (replaceable()) {
+            end();
+            dispatcher.onOutcome(this, new AttemptOutcome.Unconfirmed(reason));
+        } else {
+            onFailure(reason);
+        }
     }
 
     private void complete(String evidence) {
         HttpResponse response = head;
         end();
-        dispatcher.onComplete(this, evidence);
+        dispatcher.responses().onComplete(this, evidence);
         exchange.forwarded().onComplete(evidence);
         if (mode == ResponseMode.BUFFERED && response != null) {
             BufferedResponse bufferedResponse = new BufferedResponse(response, buffered.toByteArray());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/BufferedResponse.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/BufferedResponse.java
@@ -1,6 +1,8 @@
 package org.kingcuproad.gateway;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import org.kingcuproad.policy.gateway.JsonDocument;
 
 /**
  * A complete response of an upstream that has been buffered and not yet forwarded.
@@ -9,4 +11,11 @@
  * @param body the body bytes; must not be modified
  */
 @SuppressWarnings("ArrayRecordComponent")
-record BufferedResponse(HttpResponse head, byte[] body) {}
+record BufferedResponse(HttpResponse head, byte[] body) {
+
+    /** Returns whether a body shows its own end. */
+    static boolean isWholeDocument(HttpResponse head, byte[] body) {
+        return JsonDocument.isMediaType(head.headers().get(HttpHeaderNames.CONTENT_TYPE, ""))
+                && JsonDocument.isWhole(body);
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CarriedRequests.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CarriedRequests.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
-/** Ids of the last requests that were sent on a connection. A second response to one of them may still come. */
+/** Ids of the last requests that were answered on a connection. A second response to one of them may still come. */
 final class CarriedRequests {
 
     /** Upstreams send a second response soon; one to a request further back is no reason to trust the connection. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -152,7 +152,7 @@
                 || (sends < route.attempts() && !triedUpstreams.contains(upstreamId));
     }
 
-    /** Returns whether the request has been sent to any upstream, which it is not sent to again. */
+    /** Returns whether the request has been sent to any upstream. */
     boolean tried() {
         return !triedUpstreams.isEmpty();
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -14,7 +14,6 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.FramingHabit;
 import org.kingcuproad.policy.gateway.RequestQueue;
-import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RetryPolicy;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -37,9 +36,6 @@
      */
     private static final long NON_RETRYABLE_MAX_IDLE_MS = 1_000;
 
-    /** Each one costs a run; an upstream that can't say twice where its response ends won't do so later. */
-    private static final int MAX_CONFIRMATIONS = 2;
-
     private static final long NEW_CONNECTION = -1;
 
     private final Gateway gateway;
@@ -50,6 +46,8 @@
     private final Set<Attempt> activeAttempts = new HashSet<>();
     private final DetachedAttempts detachedAttempts = new DetachedAttempts();
     private final WindowedRetryBudget budget;
+    private final AttemptRetries retries;
+    private final ResponseLog responses;
     private final ServiceStatistics statistics = new ServiceStatistics();
     private final FramingHabit framingHabit = new FramingHabit();
     private final CrashProtection crashProtection;
@@ -67,6 +65,8 @@
         this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
         this.outcomeRecorder = new OutcomeRecorder(crashProtection, gateway.log());
         this.budget = budget;
+        this.responses = new ResponseLog(gateway.log(), gateway.metrics(), gateway.names());
+        this.retries = new AttemptRetries(upstreams, budget);
     }
 
     HeaderNames names() {
@@ -267,34 +267,9 @@
         notices.read(upstream, response);
     }
 
-    void onMismatchedResponse(Attempt attempt, String responseId, HttpResponse response) {
-        gateway.metrics().count("responses_skipped");
-        gateway.log()
-                .event("skipped response to another request")
-                .field("request", attempt.requestId())
-                .field("upstream", attempt.upstream().entry().id())
-                .field("answerTo", responseId)
-                .field("status", response.status().code())
-                .field("seal", response.headers().get(names().seal(), ""))
-                .write();
-    }
-
-    /** Counts why a response was taken for complete, and logs it if the response itself doesn't say where it ends. */
-    void onComplete(Attempt attempt, String evidence) {
-        ResponseSummary response = attempt.summary();
-        gateway.metrics().count("responses_complete_" + response.framing());
-        if (response.framing().equals(ResponseFraming.CONNECTION.toString())) {
-            gateway.log()
-                    .event("response ended with its connection")
-                    .field("request", attempt.requestId())
-                    .field("upstream", attempt.upstream().entry().id())
-                    .field("evidence", evidence)
-                    .field("status", response.status())
-                    .field("seal", response.seal())
-                    .field("events", response.events())
-                    .field("bytes", response.bytes())
-                    .write();
-        }
+    /** Returns the log of what is believed of responses. */
+    ResponseLog responses() {
+        return responses;
     }
 
     void onSlotReleased() {
@@ -361,7 +336,7 @@
         exchange.setLastFailure(outcome.reason());
         long nowMs = nowMs();
         outcomeRecorder.record(attempt, outcome, nowMs);
-        boolean retry = mayRetry(exchange, attempt.upstream(), outcome, nowMs);
+        boolean retry = retries.mayRetry(exchange, attempt.upstream(), outcome, nowMs);
         ResponseSummary response = attempt.summary();
         gateway.metrics().count("attempts_failed_" + outcome.getClass().getSimpleName());
         gateway.log()
@@ -391,38 +366,6 @@
         }
     }
 
-    private boolean mayRetry(Exchange exchange, Upstream upstream, AttemptOutcome outcome, long nowMs) {
-        return switch (outcome) {
-            case AttemptOutcome.BrokenOff broken -> false;
-            // A request that reached no upstream caused no load, so its retry does not count against the budget.
-            case AttemptOutcome.NotSent notSent -> retryPossible(exchange, nowMs);
-            // The budget was charged before the attempt was cancelled.
-            case AttemptOutcome.Stalled stalled -> retryPossible(exchange, nowMs);
-            case AttemptOutcome.NotRun notRun -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
-            case AttemptOutcome.Lost lost -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
-            case AttemptOutcome.Unconfirmed unconfirmed ->
-                (retryPossible(exchange, nowMs) || confirmable(exchange, upstream, nowMs)) && budget.tryAcquire(nowMs);
-            case AttemptOutcome.Failed failed -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
-        };
-    }
-
-    /** Returns whether the upstream is asked once more, since no other one can be. */
-    private boolean confirmable(Exchange exchange, Upstream upstream, long nowMs) {
-        boolean confirmable = upstream.usable()
-                && exchange.confirmations() < MAX_CONFIRMATIONS
-                && RetryPolicy.mayConfirm(exchange.route(), exchange.deadlineMs() - nowMs);
-        if (confirmable) {
-            exchange.confirmAt(upstream.entry().id());
-        }
-        return confirmable;
-    }
-
-    private boolean retryPossible(Exchange exchange, long nowMs) {
-        return RetryPolicy.mayRetry(
-                        exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs)
-                && upstreams.anyAdmitted(exchange);
-    }
-
     private void endWithoutResponse(Exchange exchange, Attempt attempt, AttemptOutcome outcome) {
         if (exchange.headSent()) {
             gateway.abort(exchange, outcome.reason());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnection.java
@@ -48,6 +48,7 @@
     private boolean skipping;
     private boolean closeAfterResponse;
     private boolean responseRead;
+    private boolean bodilessRequest;
     private int informationalResponses;
     private long skippedBytes;
     private long idleSinceMs;
@@ -87,6 +88,7 @@
         skipping = false;
         informationalResponses = 0;
         skippedBytes = 0;
+        bodilessRequest = bodiless();
         current.config().setAutoRead(true);
         requestWrite = current.writeAndFlush(request);
     }
@@ -153,7 +155,7 @@
             }
             case HeadVerdict.LateCopy copy -> {
                 skipping = true;
-                current.onMismatchedResponse(copy.requestId(), response);
+                current.onSkippedResponse(copy.requestId(), response);
             }
             case HeadVerdict.Improper improper -> fail(improper.reason());
         }
@@ -243,7 +245,8 @@
         // The rest of a request that is not yet fully written would be sent on this connection before the next request.
         boolean requestFullySent = writeFuture != null && writeFuture.isSuccess();
         Channel current = channel;
-        if (closeAfterResponse || !requestFullySent || current == null || !current.isActive()) {
+        // The body of a second response to such a request would be read as that of the next response.
+        if (bodilessRequest || closeAfterResponse || !requestFullySent || current == null || !current.isActive()) {
             close();
             return;
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -17,7 +17,7 @@
     }
 
     /**
-     * Selects an upstream that has capacity and to which the request has not been sent yet.
+     * Selects an upstream that has capacity and to which the request may be sent.
      *
      * @param engine whether the upstreams are model engines
      * @return the index of the upstream, or empty if none can take the request now
