Judge generated floods that are no stream by the rule of floods

The oracle took the flood for the stream that the upstream would have sent, as soon as the request had more than one run, and missed its events. The client got a sealed, broken answer of bytes that the upstream wrote, which the rule for floods allows and which one run alone was allowed to give already. A whole answer of a flood stays a violation.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedResponse.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedResponse.java
@@ -126,7 +126,7 @@
 
     /** Returns whether the response says that it is an event stream. */
     boolean isStream() {
-        return events.isPresent() || flood.isStream();
+        return flood == ShapedFlood.NONE ? events.isPresent() : flood.isStream();
     }
 
     /** Returns the whole body, without its framing. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedTrafficTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedTrafficTest.java
@@ -31,6 +31,7 @@
         }
 
         System.out.println(report);
+        report.violations().forEach(System.out::println);
         assertThat(report.violations()).as("%s", report).isEmpty();
         assertThat(report.steadyFailures()).as("%s", report).isEmpty();
         assertThat(report.heldUpMs()).as("longest wait in ms, %s", report).isLessThan(MAX_WAIT_MS);
