--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/HeadVerdictTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/HeadVerdictTest.java
@@ -80,4 +80,21 @@
                 .isEqualTo(answer(ResponseFraming.NO_BODY));
         assertThat(HeadVerdict.of(head(204, OWN, SEAL), FIRST)).isEqualTo(answer(ResponseFraming.NO_BODY));
     }
+
+    static Stream<Arguments> callHeads() {
+        return Stream.of(
+                Arguments.of("success", framed(NONE, List.of("4"), NONE), "Answer"),
+                Arguments.of("failure", head(409, NONE, NONE), "Answer"),
+                Arguments.of("informational", head(102, NONE, NONE), "Informational"),
+                Arguments.of("other protocol", head(101, NONE, NONE), "Improper"),
+                Arguments.of("unknown coding", framed(List.of("xchunked"), NONE, NONE), "Improper"),
+                Arguments.of("chunks and length", framed(List.of("chunked"), List.of("4"), NONE), "Improper"),
+                Arguments.of("encoded", framed(NONE, List.of("4"), List.of("gzip")), "Improper"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("callHeads")
+    void decidesAboutCallsWithoutIds(String name, ResponseHead head, String verdict) {
+        assertThat(HeadVerdict.ofCall(head).getClass().getSimpleName()).isEqualTo(verdict);
+    }
 }
