Give each call of the store's client a connection of its own

HttpObjectStore took the next response on a pooled connection for the response to the next call. A late copy of 'created' was reported as the success of a write that the store had refused, so that a claim could be taken for granted twice.

Change: no connection is used for a second call.

Evidence: LateStoreResponseTest, 1 of 1 failed before (Written[version=1] for VersionConflict[currentVersion=7]); it passes, as do the other 46 tests of the module.

Conclusion: the price is a new connection for each call of the store, which was not measured. What remains: a read whose response has neither a length nor chunks and is cut off is still taken for the whole object; from the code, no run. The interface doesn't say that the store sends a length.

--- a/kingcuproad-platform/src/main/java/org/kingcuproad/platform/HttpObjectStore.java
+++ b/kingcuproad-platform/src/main/java/org/kingcuproad/platform/HttpObjectStore.java
@@ -172,6 +172,8 @@
                 .setReadTimeout(Duration.ofMillis(settings.requestTimeoutMs()))
                 // A repeated write whose first response was lost would look like a conflict.
                 .setMaxRequestRetry(0)
+                // Responses do not name their requests, so each connection carries one request.
+                .setKeepAliveStrategy((address, request, sent, response) -> false)
                 .setShutdownQuietPeriod(Duration.ZERO)
                 .setThreadPoolName("platform-client");
     }
