--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ImproperReplyTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ImproperReplyTest.java
@@ -78,6 +78,7 @@
                 Arguments.of("two lengths", withHeader("Content-Length: 1")),
                 Arguments.of("length that is no number", OK + "Content-Length: x\r\n\r\n" + BODY),
                 Arguments.of("encoded body", withHeader("Content-Encoding: gzip")),
+                Arguments.of("body that is said to be plain", withHeader("Content-Encoding: identity")),
                 Arguments.of("no length and no body", OK + "\r\n"),
                 Arguments.of("no length and a cut body", OK + "\r\n" + BODY.substring(0, BODY.length() - 1)),
                 Arguments.of("no length and two bodies", OK + "\r\n" + BODY + BODY),
