Prefer upstreams whose responses are shown to be whole

UnconfirmedEndTest#asksAnotherUpstreamForALookupThatWasCutOff failed in 3 of 3 runs of its class: an upstream that cut its responses off in an orderly way answered fastest, stayed the preferred one, and each of its responses cost a retry until the budget was used up and callers got 502. An unconfirmed response now counts in the failure rate by which upstreams are chosen, but doesn't eject, since sound services may end all responses in that way. 3 of 3 runs pass.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OutcomeRecorder.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OutcomeRecorder.java
@@ -31,8 +31,10 @@
             case AttemptOutcome.Lost lost -> recordLoss(attempt, lost, lost.disconnected(), nowMs);
             case AttemptOutcome.Stalled stalled -> recordLoss(attempt, stalled, false, nowMs);
             case AttemptOutcome.BrokenOff broken -> recordLoss(attempt, broken, broken.disconnected(), nowMs);
-            // Sound upstreams end responses in this way too, so it doesn't count against their health.
-            case AttemptOutcome.Unconfirmed unconfirmed -> exchange.setMayHaveRun();
+            case AttemptOutcome.Unconfirmed unconfirmed -> {
+                exchange.setMayHaveRun();
+                upstream.health().onUnconfirmed();
+            }
             case AttemptOutcome.Failed failed -> {
                 exchange.setMayHaveRun();
                 recordFailure(upstream, outcome, nowMs);
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnconfirmedEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnconfirmedEndTest.java
@@ -89,6 +89,7 @@
         return received.lines().filter(line -> line.startsWith("id:")).toList();
     }
 
+    /** The upstream that cuts lookups off answers first; it must not use up the retry budget. */
     @Test
     void asksAnotherUpstreamForALookupThatWasCutOff() throws Exception {
         fixture.streamingUpstream(body(OK, "application/octet-stream", PART));
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamHealth.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamHealth.java
@@ -66,6 +66,14 @@
         return true;
     }
 
+    /**
+     * Records a response of which nothing shows that it was whole. Others are preferred, but the upstream is not
+     * ejected, because sound services may end all responses in that way.
+     */
+    public void onUnconfirmed() {
+        failureRate += FAILURE_WEIGHT * (1 - failureRate);
+    }
+
     /**
      * Returns whether the upstream may get a request.
      *
