Confirm no stream by an empty resumption where upstreams state ends

Cuts most often come before the first event. Where a service has stated the end of any response, an empty resumption without framing is no evidence now, and the stream is asked for again or broken off; a service that has never stated one is judged as before.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -379,7 +379,7 @@
                 mode == ResponseMode.BUFFERED
                         && framing == ResponseFraming.CONNECTION
                         && BufferedResponse.isWholeDocument(response, buffered.toByteArray()),
-                dispatcher.framingHabit().endsWithConnection(),
+                dispatcher.framingHabit().kind(),
                 dispatcher.anyRankCrashed(),
                 exchange.deadlineMs(),
                 events);
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
@@ -133,4 +133,29 @@
         assertThat(fixture.post("/NON_IDEMPOTENT/order", "r1", "order").status())
                 .isEqualTo(404);
     }
+
+    /** The stream has four events; its resumption is cut off before its first one. */
+    @Test
+    void completesNoStreamWhoseResumptionIsCutOffWhereUpstreamsStateEnds() throws Exception {
+        StreamingUpstream.Script cut = (request, output) -> {
+            if (FakeUpstream.header(request, "X-Request").equals("framed")) {
+                output.writeStreamHead(request);
+                output.writeChunk("id: 1\ndata: e\n\n");
+                output.write(TERMINATOR);
+                return;
+            }
+            if (resumed(request)) {
+                writeHead(request, output, "text/event-stream");
+            } else {
+                writeTwoEvents(request, output);
+            }
+            throw new EOFException("cut off");
+        };
+        fixture.streamingUpstream(cut);
+        fixture.streamingUpstream(cut);
+        fixture.start();
+        fixture.received(GatewayFixture.postRequest("/STREAMING/draft", "framed", "prompt"));
+
+        assertThat(receivedStream()).contains("id: 2").doesNotEndWith(TERMINATOR);
+    }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
@@ -8,7 +8,7 @@
  * @param requestWritten {@code false} if the request could not be written to the upstream
  * @param hasBody whether at least one byte of its body was received
  * @param wholeDocument whether the body is a text that shows its own end, see {@link JsonDocument}
- * @param endsWithConnection whether the service states the end of no response, see {@link FramingHabit}
+ * @param habit how the service says where its responses end
  * @param rankCrashed whether the upstreams are ranks of a group of which one is known to have crashed
  * @param deadlineMs time at which the upstream stops working on the request, in milliseconds
  * @param events the events of an event stream, or {@link Events#NONE} for other bodies
@@ -19,7 +19,7 @@
         boolean requestWritten,
         boolean hasBody,
         boolean wholeDocument,
-        boolean endsWithConnection,
+        FramingHabit.Kind habit,
         boolean rankCrashed,
         long deadlineMs,
         Events events) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/FramingHabit.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/FramingHabit.java
@@ -11,6 +11,19 @@
     /** Number of responses after which a service that has stated no end is taken for one that never does. */
     static final int MIN_RESPONSES = 20;
 
+    /** What is known of a service. */
+    public enum Kind {
+
+        /** Too few responses are known. */
+        UNKNOWN,
+
+        /** It has stated the end of a response, so one that states none is a sign of trouble. */
+        STATES_ENDS,
+
+        /** It ends all responses with their connection, so an orderly end is all that can be known. */
+        ENDS_WITH_CONNECTION
+    }
+
     private boolean framed;
     private int unframed;
 
@@ -31,11 +44,14 @@
     }
 
     /**
-     * Returns whether the service ends all responses with their connection.
+     * Returns what is known of the service.
      *
-     * @return {@code true} if an orderly end is all that can be known
+     * @return its habit
      */
-    public boolean endsWithConnection() {
-        return !framed && unframed >= MIN_RESPONSES;
+    public Kind kind() {
+        if (framed) {
+            return Kind.STATES_ENDS;
+        }
+        return unframed >= MIN_RESPONSES ? Kind.ENDS_WITH_CONNECTION : Kind.UNKNOWN;
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -77,15 +77,23 @@
             return new CutOff("the connection ended at the deadline");
         }
         if (events.expected() && !events.advanced()) {
-            return events.endedThere()
-                    ? new Probable("the stream was ended twice after the same event")
-                    : new CutOff("the connection ended before an event of the resumed stream");
+            return ofEmptyResumption(response);
         }
         if (!response.hasBody()) {
             return new CutOff("the connection ended before the first byte of the body");
         }
-        return response.endsWithConnection()
+        return response.habit() == FramingHabit.Kind.ENDS_WITH_CONNECTION
                 ? new Probable("the service ends all responses with their connection")
                 : new Unconfirmed();
     }
+
+    /** Cuts most often come before the first event, so where upstreams state ends, one that doesn't is no evidence. */
+    private static ResponseEnd ofEmptyResumption(EndedResponse response) {
+        if (!response.events().endedThere()) {
+            return new CutOff("the connection ended before an event of the resumed stream");
+        }
+        return response.habit() == FramingHabit.Kind.STATES_ENDS
+                ? new Unconfirmed()
+                : new Probable("the stream was ended twice after the same event");
+    }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/FramingHabitTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/FramingHabitTest.java
@@ -19,14 +19,14 @@
         record(ResponseFraming.NO_BODY, 2 * FramingHabit.MIN_RESPONSES);
         record(ResponseFraming.CONNECTION, FramingHabit.MIN_RESPONSES - 1);
 
-        assertThat(habit.endsWithConnection()).isFalse();
+        assertThat(habit.kind()).isEqualTo(FramingHabit.Kind.UNKNOWN);
     }
 
     @Test
     void knowsAServiceThatStatesNoEnds() {
         record(ResponseFraming.CONNECTION, FramingHabit.MIN_RESPONSES);
 
-        assertThat(habit.endsWithConnection()).isTrue();
+        assertThat(habit.kind()).isEqualTo(FramingHabit.Kind.ENDS_WITH_CONNECTION);
     }
 
     @Test
@@ -34,7 +34,7 @@
         record(ResponseFraming.LENGTH, 1);
         record(ResponseFraming.CONNECTION, 100 * FramingHabit.MIN_RESPONSES);
 
-        assertThat(habit.endsWithConnection()).isFalse();
+        assertThat(habit.kind()).isEqualTo(FramingHabit.Kind.STATES_ENDS);
     }
 
     @Test
@@ -42,6 +42,6 @@
         record(ResponseFraming.CONNECTION, 2 * FramingHabit.MIN_RESPONSES);
         record(ResponseFraming.CHUNKS, 1);
 
-        assertThat(habit.endsWithConnection()).isFalse();
+        assertThat(habit.kind()).isEqualTo(FramingHabit.Kind.STATES_ENDS);
     }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
@@ -13,6 +13,8 @@
     private static final long DEADLINE_MS = 10_000;
     private static final EndedResponse.Events WHOLE = new EndedResponse.Events(true, false, true, true, false);
 
+    private static final FramingHabit.Kind UNKNOWN = FramingHabit.Kind.UNKNOWN;
+    private static final FramingHabit.Kind ENDS = FramingHabit.Kind.ENDS_WITH_CONNECTION;
     private static final EndedResponse.Events ENDED_THERE = new EndedResponse.Events(true, false, true, false, true);
 
     static Stream<Arguments> ends() {
@@ -58,52 +60,57 @@
                         "Unconfirmed"),
                 Arguments.of(
                         "connection while the request was written",
-                        connection(false, true, false, false, false, EndedResponse.Events.NONE),
+                        connection(false, true, false, UNKNOWN, false, EndedResponse.Events.NONE),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "connection before the first byte of the body",
-                        connection(true, false, false, false, false, EndedResponse.Events.NONE),
+                        connection(true, false, false, UNKNOWN, false, EndedResponse.Events.NONE),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "connection after a whole document",
-                        connection(true, true, true, false, false, EndedResponse.Events.NONE),
+                        connection(true, true, true, UNKNOWN, false, EndedResponse.Events.NONE),
                         1_000,
                         "Complete"),
                 Arguments.of(
                         "connection after a whole document before the request was read",
-                        connection(false, true, true, false, false, EndedResponse.Events.NONE),
+                        connection(false, true, true, UNKNOWN, false, EndedResponse.Events.NONE),
                         1_000,
                         "Complete"),
                 Arguments.of(
                         "connection of a service that states no ends",
-                        connection(true, true, false, true, false, EndedResponse.Events.NONE),
+                        connection(true, true, false, ENDS, false, EndedResponse.Events.NONE),
                         1_000,
                         "Probable"),
                 Arguments.of(
                         "connection of a service that states no ends, at the deadline",
-                        connection(true, true, false, true, false, EndedResponse.Events.NONE),
+                        connection(true, true, false, ENDS, false, EndedResponse.Events.NONE),
                         DEADLINE_MS,
                         "CutOff"),
                 Arguments.of(
                         "connection after a rank had crashed",
-                        connection(true, true, false, false, true, WHOLE),
+                        connection(true, true, false, UNKNOWN, true, WHOLE),
                         1_000,
                         "CutOff"),
                 Arguments.of(
                         "connection where another upstream had ended the stream",
-                        connection(true, false, false, false, false, ENDED_THERE),
+                        connection(true, false, false, UNKNOWN, false, ENDED_THERE),
                         1_000,
                         "Probable"),
+                Arguments.of(
+                        "connection where another upstream had ended the stream, of a service that states ends",
+                        connection(true, false, false, FramingHabit.Kind.STATES_ENDS, false, ENDED_THERE),
+                        1_000,
+                        "Unconfirmed"),
                 Arguments.of(
                         "connection where another upstream had ended the stream, at the deadline",
-                        connection(true, false, false, false, false, ENDED_THERE),
+                        connection(true, false, false, UNKNOWN, false, ENDED_THERE),
                         DEADLINE_MS,
                         "CutOff"),
                 Arguments.of(
                         "connection where another upstream had ended the stream, after a rank had crashed",
-                        connection(true, false, false, false, true, ENDED_THERE),
+                        connection(true, false, false, UNKNOWN, true, ENDED_THERE),
                         1_000,
                         "CutOff"),
                 Arguments.of(
@@ -114,7 +121,7 @@
                                 true,
                                 false,
                                 false,
-                                false,
+                                UNKNOWN,
                                 false,
                                 DEADLINE_MS,
                                 EndedResponse.Events.NONE),
@@ -128,7 +135,7 @@
                                 true,
                                 false,
                                 false,
-                                false,
+                                UNKNOWN,
                                 false,
                                 DEADLINE_MS,
                                 EndedResponse.Events.NONE),
@@ -137,14 +144,15 @@
     }
 
     private static EndedResponse response(ResponseFraming framing, EndedResponse.Events events) {
-        return new EndedResponse(true, framing, true, true, false, false, false, DEADLINE_MS, events);
+        return new EndedResponse(
+                true, framing, true, true, false, FramingHabit.Kind.UNKNOWN, false, DEADLINE_MS, events);
     }
 
     private static EndedResponse connection(
             boolean requestWritten,
             boolean hasBody,
             boolean wholeDocument,
-            boolean endsWithConnection,
+            FramingHabit.Kind habit,
             boolean rankCrashed,
             EndedResponse.Events events) {
         return new EndedResponse(
@@ -153,7 +161,7 @@
                 requestWritten,
                 hasBody,
                 wholeDocument,
-                endsWithConnection,
+                habit,
                 rankCrashed,
                 DEADLINE_MS,
                 events);
