--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -372,7 +372,6 @@
                         true, parser.hasPartialEvent(), exchange.headSent(), advanced, forwarded.endedAfterLastEvent())
                 : EndedResponse.Events.NONE;
         return new EndedResponse(
-                succeeded(),
                 framing,
                 requestWritten,
                 receivedBytes > 0,
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
@@ -121,19 +121,6 @@
         assertThat(fixture.get("/IDEMPOTENT/a", "k1", "cut").body()).isEqualTo("whole body");
     }
 
-    @Test
-    void deliversAFailureWithoutBodyAndLength() throws Exception {
-        fixture.streamingUpstream((request, output) -> {
-            output.write("HTTP/1.1 404 X\r\nX-Request: " + FakeUpstream.header(request, "X-Request") + "\r\n"
-                    + GatewayFixture.SEAL + "Connection: close\r\n\r\n");
-            throw new EOFException("end of the connection");
-        });
-        fixture.start();
-
-        assertThat(fixture.post("/NON_IDEMPOTENT/order", "r1", "order").status())
-                .isEqualTo(404);
-    }
-
     /** The stream has four events; its resumption is cut off before its first one. */
     @Test
     void completesNoStreamWhoseResumptionIsCutOffWhereUpstreamsStateEnds() throws Exception {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
@@ -3,7 +3,6 @@
 /**
  * What is known of a response when its end has been read.
  *
- * @param success whether its status reports success
  * @param framing how it says where it ends
  * @param requestWritten {@code false} if the request could not be written to the upstream
  * @param hasBody whether at least one byte of its body was received
@@ -14,7 +13,6 @@
  * @param events the events of an event stream, or {@link Events#NONE} for other bodies
  */
 public record EndedResponse(
-        boolean success,
         ResponseFraming framing,
         boolean requestWritten,
         boolean hasBody,
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -58,9 +58,6 @@
         if (response.framing() != ResponseFraming.CONNECTION) {
             return new Complete(response.framing().toString());
         }
-        if (!response.success() && !response.hasBody()) {
-            return new Complete("failure without a body");
-        }
         return response.wholeDocument() ? new Complete("whole document") : ofConnection(response, nowMs);
     }
 
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
@@ -113,24 +113,9 @@
                         connection(true, false, false, UNKNOWN, true, ENDED_THERE),
                         1_000,
                         "CutOff"),
-                Arguments.of(
-                        "connection after the head of a failure",
-                        new EndedResponse(
-                                false,
-                                ResponseFraming.CONNECTION,
-                                true,
-                                false,
-                                false,
-                                UNKNOWN,
-                                false,
-                                DEADLINE_MS,
-                                EndedResponse.Events.NONE),
-                        1_000,
-                        "Complete"),
                 Arguments.of(
                         "length of an empty body",
                         new EndedResponse(
-                                true,
                                 ResponseFraming.LENGTH,
                                 true,
                                 false,
@@ -144,8 +129,7 @@
     }
 
     private static EndedResponse response(ResponseFraming framing, EndedResponse.Events events) {
-        return new EndedResponse(
-                true, framing, true, true, false, FramingHabit.Kind.UNKNOWN, false, DEADLINE_MS, events);
+        return new EndedResponse(framing, true, true, false, FramingHabit.Kind.UNKNOWN, false, DEADLINE_MS, events);
     }
 
     private static EndedResponse connection(
@@ -156,7 +140,6 @@
             boolean rankCrashed,
             EndedResponse.Events events) {
         return new EndedResponse(
-                true,
                 ResponseFraming.CONNECTION,
                 requestWritten,
                 hasBody,
