Prepare the connections on which CutResponseTest cuts a late copy

CutResponseTest failed now and then with "no request was answered with a response cut after 285 bytes" (AFTER_OTHER_RESPONSE, STREAMING, resumed), after 400 requests.

The script therefore answers the first request of each connection whole and cuts the next one. Nothing led a request to such a connection: all cuts shared some 280 upstreams, each lost request closes the idle connections of its upstream, and a resumed stream loses its first request each time. A cut was reached by chance.

Each cut of this shape now has a service of its own with two upstreams, as many as a request may be sent to. Two requests prepare them: an upstream that has answered one on the connection rejects the next one as not run, so it reaches the other upstream. The request under test then finds a kept connection at either upstream, also where it is sent again or resumed, so the response to both attempts is cut. Positions, ends, kinds and checks are the same, and so are the limits of repeats; the other shapes are unchanged. The ids have one length, so that a cut position means the same in all repeats.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutResponseTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/CutResponseTest.java
@@ -31,11 +31,19 @@
     private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
     private static final int CLIENTS = 8;
     private static final double RETRY_SLACK = 1_000_000;
-    /** Only an upstream that keeps a connection can send a second response to an earlier request. */
     private static final int MAX_REPEATS = 400;
 
     private static final long REPEAT_DELAY_MS = 50;
 
+    /** Upstreams of the service of one cut, as many as a request may be sent to. */
+    private static final int UPSTREAMS_PER_CUT = 2;
+
+    /** Marks the ids of requests that are answered whole before a response is cut. */
+    private static final String PREPARING = "-p";
+
+    /** An id as long as those of all requests. */
+    private static final String SOME_ID = "000-000";
+
     /** What an upstream writes. Of a response without a length or chunks only its head is cut. */
     enum Shape {
         LENGTH,
@@ -151,6 +159,13 @@
 
     private static Part part(Shape shape, End end, RouteKind kind, boolean resumed, String request, String earlierId) {
         String id = FakeUpstream.header(request, "X-Request");
+        if (id.contains(PREPARING)) {
+            // The other upstream of the service gets the request if this one has answered one on the connection.
+            return Part.whole(
+                    earlierId.isEmpty()
+                            ? withLength(RouteKind.IDEMPOTENT, id, body(RouteKind.IDEMPOTENT, 1))
+                            : FakeUpstream.response(id, 503, "X-Not-Run: 1\r\n", ""));
+        }
         if (resumed && FakeUpstream.header(request, "Last-Event-Id").isEmpty()) {
             String head = STATUS_LINE + fields(kind, id) + "Transfer-Encoding: chunked\r\n\r\n";
             String first = event(1);
@@ -164,11 +179,30 @@
         return new Part(text.substring(0, cutOf(request)), end, true);
     }
 
-    private Received send(RouteKind kind, String id) throws IOException {
+    /**
+     * Lets each upstream of the service of a cut keep a connection on which it has answered a request: only on such a
+     * connection may the response to an earlier request come first.
+     */
+    private void prepareConnections(int cut, int repeat) throws IOException {
+        for (int index = 0; index < UPSTREAMS_PER_CUT; index++) {
+            int number = (UPSTREAMS_PER_CUT * repeat + index) % 100;
+            send(preparingRoute(cut), String.format(Locale.ROOT, "%03d%s%02d", cut, PREPARING, number));
+        }
+    }
+
+    private static String preparingRoute(int cut) {
+        return "prepare" + cut;
+    }
+
+    private static String route(Shape shape, RouteKind kind, int cut) {
+        return shape == Shape.AFTER_OTHER_RESPONSE ? "cut" + cut : kind.name();
+    }
+
+    private Received send(String route, String id) throws IOException {
         ByteArrayOutputStream received = new ByteArrayOutputStream();
         try (Socket socket = fixture.open()) {
             socket.getOutputStream()
-                    .write(GatewayFixture.postRequest("/" + kind + "/x", id, "b")
+                    .write(GatewayFixture.postRequest("/" + route + "/x", id, "b")
                             .getBytes(StandardCharsets.UTF_8));
             InputStream input = socket.getInputStream();
             for (int next = input.read(); next >= 0; next = input.read()) {
@@ -182,10 +216,13 @@
     }
 
     /** Sends requests until the response to one was cut; the gateway may refuse some while its upstream fails. */
-    private Received receiveCut(CutUpstream upstream, RouteKind kind, int cut) throws Exception {
+    private Received receiveCut(CutUpstream upstream, Shape shape, RouteKind kind, int cut) throws Exception {
         for (int repeat = 0; repeat < MAX_REPEATS; repeat++) {
-            String id = String.format(Locale.ROOT, "%03d-%02d", cut, repeat);
-            Received received = send(kind, id);
+            if (shape == Shape.AFTER_OTHER_RESPONSE) {
+                prepareConnections(cut, repeat);
+            }
+            String id = String.format(Locale.ROOT, "%03d-%03d", cut, repeat);
+            Received received = send(route(shape, kind, cut), id);
             if (upstream.cut(id)) {
                 return received;
             }
@@ -194,14 +231,31 @@
         throw new AssertionError("no request was answered with a response cut after " + cut + " bytes");
     }
 
+    /** Registers the upstreams: for each cut a service of its own if connections are prepared for it. */
+    private void register(CutUpstream upstream, Shape shape, RouteKind kind, int length) {
+        if (shape != Shape.AFTER_OTHER_RESPONSE) {
+            upstream.ports().forEach(port -> fixture.addEntry("127.0.0.1", port));
+            return;
+        }
+        for (int cut = 0; cut <= length; cut++) {
+            String service = "service" + cut;
+            upstream.ports()
+                    .subList(UPSTREAMS_PER_CUT * cut, UPSTREAMS_PER_CUT * (cut + 1))
+                    .forEach(port -> fixture.addEntry(service, "127.0.0.1", port));
+            fixture.addRoute(route(shape, kind, cut), kind, service);
+            fixture.addRoute(preparingRoute(cut), RouteKind.IDEMPOTENT, service);
+        }
+    }
+
     @ParameterizedTest(name = "{0}, {1}, {2}, resumed {3}")
     @MethodSource("cuts")
     void neverTakesACutResponseForAWholeOne(Shape shape, End end, RouteKind kind, boolean resumed) throws Exception {
-        int length = text(shape, kind, "000-00", "000-00", resumed ? 2 : 1).length();
+        int length = text(shape, kind, SOME_ID, SOME_ID, resumed ? 2 : 1).length();
         // An upstream that fails twice in a row gets no requests for a while.
+        int upstreams = shape == Shape.AFTER_OTHER_RESPONSE ? UPSTREAMS_PER_CUT * (length + 1) : length;
         CutUpstream upstream =
-                new CutUpstream(length, (request, earlierId) -> part(shape, end, kind, resumed, request, earlierId));
-        upstream.ports().forEach(port -> fixture.addEntry("127.0.0.1", port));
+                new CutUpstream(upstreams, (request, earlierId) -> part(shape, end, kind, resumed, request, earlierId));
+        register(upstream, shape, kind, length);
         fixture.setRetrySlack(RETRY_SLACK);
         fixture.start();
         String whole = (resumed ? event(1) : "") + body(kind, resumed ? 2 : 1);
@@ -211,7 +265,7 @@
         try (upstream;
                 ExecutorService clients = Executors.newFixedThreadPool(CLIENTS)) {
             List<Future<Received>> results = IntStream.rangeClosed(0, length)
-                    .mapToObj(cut -> clients.submit(() -> receiveCut(upstream, kind, cut)))
+                    .mapToObj(cut -> clients.submit(() -> receiveCut(upstream, shape, kind, cut)))
                     .toList();
             for (int cut = 0; cut <= length; cut++) {
                 Received received = results.get(cut).get();
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -75,6 +75,7 @@
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final List<UpstreamEntry> entries = new ArrayList<>();
     private final String host = ownLoopbackAddress();
+    private final List<AddedRoute> addedRoutes = new ArrayList<>();
     private final Set<Integer> chosenPorts = new HashSet<>();
     private final int port;
     private final int readyPort;
@@ -93,6 +94,9 @@
     private String lookupService = SERVICE;
     private OutputStream logOutput = OutputStream.nullOutputStream();
 
+    /** A route besides those of each fixture. */
+    private record AddedRoute(String name, RouteKind kind, String service) {}
+
     GatewayFixture() throws IOException {
         this.port = freePort();
         this.readyPort = freePort();
@@ -189,6 +193,11 @@
         entries.add(new UpstreamEntry("u" + entries.size(), service, upstreamHost, upstreamPort, "dc", 4, false, 0));
     }
 
+    /** Adds a route {@code /NAME/} to a service. */
+    void addRoute(String name, RouteKind kind, String service) {
+        addedRoutes.add(new AddedRoute(name, kind, service));
+    }
+
     /** Registers an upstream of a second service, whose route is {@code /STEADY/}. */
     void addSteadyEntry(int upstreamPort) {
         entries.add(new UpstreamEntry(STEADY, STEADY, "127.0.0.1", upstreamPort, "dc", 4, false, 0));
@@ -232,8 +241,12 @@
         return upstream;
     }
 
-    private GatewayRoute route(RouteKind kind, int attempts) {
-        return route(kind, attempts, kind.name(), kind == RouteKind.IDEMPOTENT ? lookupService : SERVICE);
+    private GatewayRoute route(RouteKind kind) {
+        return route(kind, attempts(kind), kind.name(), kind == RouteKind.IDEMPOTENT ? lookupService : SERVICE);
+    }
+
+    private int attempts(RouteKind kind) {
+        return kind == RouteKind.NON_IDEMPOTENT ? orderAttempts : 2;
     }
 
     private GatewayRoute route(RouteKind kind, int attempts, String name, String service) {
@@ -251,6 +264,19 @@
                 List.of(new WeightedService(service, 1)));
     }
 
+    private List<GatewayRoute> routes() {
+        return Stream.concat(
+                        Stream.of(
+                                route(RouteKind.IDEMPOTENT),
+                                route(RouteKind.NON_IDEMPOTENT),
+                                route(RouteKind.STREAMING),
+                                route(RouteKind.IDEMPOTENT, 1, STEADY, STEADY)),
+                        addedRoutes.stream()
+                                .map(added ->
+                                        route(added.kind(), attempts(added.kind()), added.name(), added.service())))
+                .toList();
+    }
+
     /** Creates and starts a gateway, and waits until it is ready. */
     Gateway start() throws Exception {
         Gateway gateway = create();
@@ -262,12 +288,10 @@
     Gateway create() throws Exception {
         GatewayConfiguration configuration = new GatewayConfiguration(
                 3,
-                List.of(
-                        route(RouteKind.IDEMPOTENT, 2),
-                        route(RouteKind.NON_IDEMPOTENT, orderAttempts),
-                        route(RouteKind.STREAMING, 2),
-                        route(RouteKind.IDEMPOTENT, 1, STEADY, STEADY)),
-                Stream.of(SERVICE, lookupService, STEADY)
+                routes(),
+                Stream.concat(
+                                Stream.of(SERVICE, lookupService, STEADY),
+                                addedRoutes.stream().map(AddedRoute::service))
                         .distinct()
                         .collect(Collectors.toMap(
                                 name -> name,
