Give the test of an address taken over a longer latency goal

stopsUsingAnAddressTakenOverByAnotherUpstream found two requests at the upstream that rejects with 421, where one may be.

The fixture's latency goal is 100 ms. A lookup without a response after that time counts as stalled: its connection is closed and it goes to the other upstream, so the 421 is never read and the next lookup may try the address again.

No rule is broken by the second request: the upstream has run neither, and requests that get 421 count for no rule of draining. One that has taken in the 421 sends nothing more, which is what the test asserts, with the same bounds. Its goal is longer than the timeout now, as in UnconfirmedEndTest, since it doesn't concern stalled lookups.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayTest.java
@@ -162,6 +162,8 @@
         FakeUpstream other = fixture.upstream(request -> new FakeUpstream.Reply(
                 FakeUpstream.response(FakeUpstream.header(request, "X-Request"), 421, "", ""), false));
         FakeUpstream healthy = fixture.upstream(request -> GatewayFixture.ok(request, "stock"));
+        // A lookup that a slow machine delays would be cancelled before the gateway reads that it was rejected.
+        fixture.setLatencyGoalMs(10_000);
         fixture.start();
 
         for (int number = 0; number < 6; number++) {
