Look for a crash again while the listening socket may still be open

After a prompt crashed upstreams, the gateway sent requests with the same part to more upstreams than it needs to learn the part: 6 of 12 crashed in PromptCrashTest, 5 may.

A crash is told from a cut connection by a probe, which was sent at once when a connection with a request had ended. The listening socket may outlive the connections by some milliseconds. The probe was accepted then, so the crash wasn't counted and the quarantine came a crash late or more.

While an upstream listens after it has cut off requests, it is probed up to five more times, 10 ms apart, with one later probe at a time. The first probe and those for responses that end with their connection keep their times, so what is known of the ranks of a group comes no later.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -22,9 +22,16 @@
      */
     private static final long END_PROBE_DELAY_MS = 10;
 
+    /** Delay of each later probe for requests that were cut off while the upstream still accepted connections. */
+    private static final long LATER_PROBE_DELAY_MS = 10;
+
+    /** Bounds the time for which a crash is looked for, so that a later one is not attributed to these requests. */
+    private static final int LATER_PROBES = 5;
+
     private final Prober prober;
     private final Listener listener;
     private final Map<Upstream, Probe> probes = new HashMap<>();
+    private final Map<Upstream, List<Unexplained>> unexplained = new HashMap<>();
 
     /** Opens a connection to an upstream after a delay, and reports whether it listens. */
     interface Prober {
@@ -65,6 +72,9 @@
      */
     private record Probe(Suspicion before, Suspicion meanwhile) {}
 
+    /** A request that was cut off, and the number of later probes that the upstream may still get for it. */
+    private record Unexplained(List<String> promptParts, int probesLeft) {}
+
     UpstreamCrashDetector(Prober prober, Listener listener) {
         this.prober = prober;
         this.listener = listener;
@@ -110,6 +120,7 @@
         }
         if (result == ProbeResult.LISTENING) {
             upstream.setListening();
+            probeLater(upstream, probed.before.lost);
         }
         if (result == ProbeResult.REFUSED) {
             upstream.setCrashed();
@@ -127,4 +138,49 @@
         }
         probed.before.ended.forEach(ended -> ended.onProbed.accept(result));
     }
+
+    /**
+     * Looks for a crash again. A process that ends may close its listening socket after the connections, so one that is
+     * still open right after a request was cut off proves nothing.
+     */
+    private void probeLater(Upstream upstream, List<List<String>> lost) {
+        if (lost.isEmpty()) {
+            return;
+        }
+        List<Unexplained> known = unexplained.get(upstream);
+        List<Unexplained> added = lost.stream()
+                .map(promptParts -> new Unexplained(promptParts, LATER_PROBES))
+                .toList();
+        if (known != null) {
+            known.addAll(added);
+        } else {
+            probeLaterFor(upstream, added);
+        }
+    }
+
+    private void probeLaterFor(Upstream upstream, List<Unexplained> requests) {
+        unexplained.put(upstream, new ArrayList<>(requests));
+        prober.probe(upstream, LATER_PROBE_DELAY_MS, result -> onProbedLater(upstream, result));
+    }
+
+    private void onProbedLater(Upstream upstream, ProbeResult result) {
+        List<Unexplained> requests = unexplained.remove(upstream);
+        if (requests == null || !upstream.usable()) {
+            return;
+        }
+        // Another probe may have found the crash, and the process may have started again since.
+        if (result == ProbeResult.REFUSED || upstream.crashed()) {
+            upstream.setCrashed();
+            listener.onCrash(
+                    upstream, requests.stream().map(Unexplained::promptParts).toList());
+        } else if (result == ProbeResult.LISTENING) {
+            List<Unexplained> remaining = requests.stream()
+                    .filter(request -> request.probesLeft > 1)
+                    .map(request -> new Unexplained(request.promptParts, request.probesLeft - 1))
+                    .toList();
+            if (!remaining.isEmpty()) {
+                probeLaterFor(upstream, remaining);
+            }
+        }
+    }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -89,6 +89,82 @@
         assertThat(crashes).containsExactly(List.of(List.of("c"), List.of("b")));
     }
 
+    /** Guards against missing a crash because the listening socket was closed a moment after the connections. */
+    @Test
+    void reportsACrashOfAnUpstreamThatStopsListeningAfterItsConnectionsEnded() {
+        detector.onDisconnected(upstream, List.of("a"));
+        for (int index = 0; index < 3; index++) {
+            probes.get(index).accept(ProbeResult.LISTENING);
+        }
+        assertThat(upstream.crashed()).isFalse();
+        probes.get(3).accept(ProbeResult.REFUSED);
+
+        assertThat(crashes).containsExactly(List.of(List.of("a")));
+        assertThat(upstream.crashed()).isTrue();
+        assertThat(probes).hasSize(4);
+    }
+
+    @Test
+    void endsTheSearchForACrashOfAnUpstreamThatGoesOnListening() {
+        detector.onDisconnected(upstream, List.of("a"));
+        for (int index = 0; index < probes.size(); index++) {
+            probes.get(index).accept(ProbeResult.LISTENING);
+        }
+        assertThat(probes).hasSize(6);
+
+        detector.onDisconnected(upstream, List.of("b"));
+        probes.get(6).accept(ProbeResult.REFUSED);
+        assertThat(crashes).containsExactly(List.of(List.of("b")));
+    }
+
+    /** Guards against a probe for each request of an upstream that cuts off many and goes on listening. */
+    @Test
+    void looksForACrashOfAnUpstreamWithOneLaterProbeAtATime() {
+        detector.onDisconnected(upstream, List.of("a"));
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        detector.onDisconnected(upstream, List.of("b"));
+        probes.get(2).accept(ProbeResult.LISTENING);
+        assertThat(probes).hasSize(3);
+        probes.get(1).accept(ProbeResult.REFUSED);
+
+        assertThat(crashes).containsExactly(List.of(List.of("a"), List.of("b")));
+    }
+
+    /** Guards against a late decision about a response because a crash is still looked for. */
+    @Test
+    void probesAtOnceForWhatEndsWhileACrashIsStillLookedFor() {
+        detector.onDisconnected(upstream, List.of("a"));
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        detector.onEndedWithConnection(upstream, List.of("b"), ended::add);
+        probes.get(2).accept(ProbeResult.LISTENING);
+
+        assertThat(ended).containsExactly(ProbeResult.LISTENING);
+        assertThat(probes).hasSize(3);
+    }
+
+    @Test
+    void reportsRequestsThatWereCutOffBeforeACrashThatAnotherProbeFound() {
+        detector.onDisconnected(upstream, List.of("a"));
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        detector.onDisconnected(upstream, List.of("b"));
+        probes.get(2).accept(ProbeResult.REFUSED);
+        probes.get(1).accept(ProbeResult.LISTENING);
+
+        assertThat(crashes).containsExactly(List.of(List.of("b")), List.of(List.of("a")));
+        assertThat(upstream.crashed()).isTrue();
+    }
+
+    /** Guards against taking a planned end for a crash because it was announced a moment after a request was cut. */
+    @Test
+    void endsTheSearchForACrashOfAnUpstreamThatIsLeaving() {
+        detector.onDisconnected(upstream, List.of("a"));
+        probes.getFirst().accept(ProbeResult.LISTENING);
+        upstream.setLeaving();
+        probes.get(1).accept(ProbeResult.REFUSED);
+
+        assertThat(crashes).isEmpty();
+    }
+
     @Test
     void takesOnlyARefusedConnectionForACrash() {
         assertThat(ProbeResult.of(null)).isEqualTo(ProbeResult.LISTENING);
