Decide about the end of a response with less work

Findings of a second reader, behaviour unchanged: the end of a response with a length or chunks asked for crashed ranks and for the service's framing, which only an end without framing needs; the body of an unframed response was copied for the check of its end and again for its delivery; a request that may be confirmed at the same upstream was changed before the retry budget had been asked; the bytes of a stream were asked twice whether they advance it.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -5,12 +5,12 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.EventStreamParser;
+import org.kingcuproad.policy.gateway.FramingHabit;
 import org.kingcuproad.policy.gateway.ResponseEnd;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -21,18 +21,6 @@
  */
 final class Attempt {
 
-    /**
-     * Non-streaming responses up to this size are buffered until they are complete, so that a broken one can be
-     * replaced by a retry; larger ones are forwarded as they arrive.
-     */
-    private static final int MAX_BUFFERED_BYTES = 256 << 10;
-
-    /** Size up to which a response is buffered also while memory is short. */
-    private static final int MIN_BUFFERED_BYTES = 16 << 10;
-
-    /** A buffer that grows takes up to twice the bytes that it holds. */
-    private static final int BUFFER_GROWTH = 2;
-
     /** Maximum size of a body that is read only to use the connection again. */
     private static final long MAX_DISCARDED_BYTES = 64 << 10;
 
@@ -50,9 +38,8 @@
     private final Exchange exchange;
     private final Upstream upstream;
     private final long sentMs;
+    private final ResponseBuffer buffer;
     private final EventStreamParser parser = new EventStreamParser();
-    private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
-    private long heldBytes;
     private ResponseMode mode = ResponseMode.AWAITING_HEAD;
     private @Nullable HttpResponse head;
     private @Nullable AttemptOutcome discardOutcome;
@@ -72,6 +59,7 @@
     private boolean advanced;
     private boolean confirming;
     private String endEvidence = "";
+    private @Nullable BufferedResponse whole;
     private boolean endProven;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
@@ -80,6 +68,7 @@
         this.upstream = upstream;
         this.sentMs = sentMs;
         this.lastEventMs = sentMs;
+        this.buffer = new ResponseBuffer(exchange.connection().memoryAccount());
     }
 
     String requestId() {
@@ -226,25 +215,14 @@
     }
 
     private void buffer(ByteBuf bytes) {
-        buffered.writeBytes(ByteBufUtil.getBytes(bytes));
-        hold((long) buffered.size() * BUFFER_GROWTH);
-        boolean memoryShort = buffered.size() > MIN_BUFFERED_BYTES
-                && exchange.connection().memoryAccount().exhausted();
-        if (buffered.size() > MAX_BUFFERED_BYTES || memoryShort) {
-            byte[] bytesSoFar = buffered.toByteArray();
-            buffered = new ByteArrayOutputStream(0);
-            hold(0);
+        if (!buffer.add(bytes)) {
+            byte[] bytesSoFar = buffer.drain();
             forwardHead();
             mode = ResponseMode.FORWARDED;
             forward(bytesSoFar);
         }
     }
 
-    private void hold(long bytes) {
-        exchange.connection().memoryAccount().add(bytes - heldBytes);
-        heldBytes = bytes;
-    }
-
     private void forward(byte[] bytes) {
         exchange.forwarded().onBytes(bytes.length);
         exchange.connection().sendContent(bytes);
@@ -262,13 +240,15 @@
 
     private void onEventBytes(ByteBuf bytes) {
         List<StreamEvent> events = parser.feed(ByteBufUtil.getBytes(bytes));
-        hold(parser.bufferBytes());
+        buffer.hold(parser.bufferBytes());
         if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
             bytesWithoutProgress = 0;
+            advanced = true;
+            recordProgress(events);
         } else {
             bytesWithoutProgress += bytes.readableBytes();
         }
-        onEvents(events);
+        forwardEvents(events);
         if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
             closeConnection();
             onFailure(parser.hasPartialEvent() ? "event without end" : "bytes without an event");
@@ -296,11 +276,7 @@
         dispatcher.onEvent(nowMs);
     }
 
-    private void onEvents(List<StreamEvent> events) {
-        if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
-            advanced = true;
-            recordProgress(events);
-        }
+    private void forwardEvents(List<StreamEvent> events) {
         receivedEvents += events.size();
         for (StreamEvent event : events) {
             if (event.id() != StreamEvent.NO_ID && event.id() <= exchange.lastEventId()) {
@@ -371,15 +347,18 @@
                 ? new EndedResponse.Events(
                         true, parser.hasPartialEvent(), exchange.headSent(), advanced, forwarded.endedAfterLastEvent())
                 : EndedResponse.Events.NONE;
+        if (mode == ResponseMode.BUFFERED) {
+            whole = new BufferedResponse(response, buffer.body());
+        }
+        BufferedResponse copy = whole;
+        boolean unframed = framing == ResponseFraming.CONNECTION;
         return new EndedResponse(
                 framing,
                 requestWritten,
                 receivedBytes > 0,
-                mode == ResponseMode.BUFFERED
-                        && framing == ResponseFraming.CONNECTION
-                        && BufferedResponse.isWholeDocument(response, buffered.toByteArray()),
-                dispatcher.framingHabit().kind(),
-                dispatcher.anyRankCrashed(),
+                unframed && copy != null && copy.isWholeDocument(),
+                unframed ? dispatcher.framingHabit().kind() : FramingHabit.Kind.UNKNOWN,
+                unframed && dispatcher.anyRankCrashed(),
                 exchange.deadlineMs(),
                 events);
     }
@@ -431,12 +410,12 @@
     }
 
     private void complete(String evidence) {
-        HttpResponse response = head;
+        BufferedResponse bufferedResponse = whole;
         end();
         dispatcher.responses().onComplete(this, evidence);
         exchange.forwarded().onComplete(evidence);
-        if (mode == ResponseMode.BUFFERED && response != null) {
-            BufferedResponse bufferedResponse = new BufferedResponse(response, buffered.toByteArray());
+        if (bufferedResponse != null) {
+            HttpResponse response = bufferedResponse.head();
             if (response.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
                 dispatcher.onOutcome(
                         this,
@@ -488,7 +467,7 @@
 
     private void end() {
         ended = true;
-        hold(0);
+        buffer.hold(0);
         upstream.onAttemptEnded();
         if (!responseStarted) {
             upstream.onPrefillEnded(exchange.promptTokens());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
@@ -33,8 +33,7 @@
             case AttemptOutcome.Stalled stalled -> retryPossible(exchange, nowMs);
             case AttemptOutcome.NotRun notRun -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
             case AttemptOutcome.Lost lost -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
-            case AttemptOutcome.Unconfirmed unconfirmed ->
-                (retryPossible(exchange, nowMs) || confirmable(exchange, upstream, nowMs)) && budget.tryAcquire(nowMs);
+            case AttemptOutcome.Unconfirmed unconfirmed -> mayConfirm(exchange, upstream, nowMs);
             case AttemptOutcome.Failed failed -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
         };
     }
@@ -45,14 +44,21 @@
                 && upstreams.anyAdmitted(exchange);
     }
 
-    /** Returns whether the upstream is asked once more, since no other one can be. */
+    /** Returns whether another upstream is asked, or the same one once more if no other one can be. */
+    private boolean mayConfirm(Exchange exchange, Upstream upstream, long nowMs) {
+        if (retryPossible(exchange, nowMs)) {
+            return budget.tryAcquire(nowMs);
+        }
+        boolean again = confirmable(exchange, upstream, nowMs) && budget.tryAcquire(nowMs);
+        if (again) {
+            exchange.confirmAt(upstream.entry().id());
+        }
+        return again;
+    }
+
     private static boolean confirmable(Exchange exchange, Upstream upstream, long nowMs) {
-        boolean confirmable = upstream.usable()
+        return upstream.usable()
                 && exchange.confirmations() < MAX_CONFIRMATIONS
                 && RetryPolicy.mayConfirm(exchange.route(), exchange.deadlineMs() - nowMs);
-        if (confirmable) {
-            exchange.confirmAt(upstream.entry().id());
-        }
-        return confirmable;
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/BufferedResponse.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/BufferedResponse.java
@@ -13,8 +13,8 @@
 @SuppressWarnings("ArrayRecordComponent")
 record BufferedResponse(HttpResponse head, byte[] body) {
 
-    /** Returns whether a body shows its own end. */
-    static boolean isWholeDocument(HttpResponse head, byte[] body) {
+    /** Returns whether the body shows its own end. */
+    boolean isWholeDocument() {
         return JsonDocument.isMediaType(head.headers().get(HttpHeaderNames.CONTENT_TYPE, ""))
                 && JsonDocument.isWhole(body);
     }
