End a stream without framing before bytes that are no event

A caller got the head of a second response, "HTTP/1.1 500 X" with its headers, as an event of the stream that the upstream had written before it without length or chunks: the parser took every line for one of an event.

A line of a stream without framing is now a comment or a field whose name has only lower-case letters, digits, hyphens, underscores and dots (EventLine); the protocol's line of a version is one, too. From the event with the first other line on, nothing is passed on. The stream doesn't end as whole, and is resumed elsewhere where it may be. All bytes of a stream with a length or chunks remain its own.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -39,7 +39,7 @@
     private final Upstream upstream;
     private final long sentMs;
     private final ResponseBuffer buffer;
-    private final EventStreamParser parser = new EventStreamParser();
+    private EventStreamParser parser = new EventStreamParser();
     private ResponseMode mode = ResponseMode.AWAITING_HEAD;
     private @Nullable HttpResponse head;
     private @Nullable AttemptOutcome discardOutcome;
@@ -184,6 +184,9 @@
             return;
         }
         boolean events = isEventStream(response);
+        if (events) {
+            parser = new EventStreamParser(framing);
+        }
         mode = events ? ResponseMode.EVENTS : ResponseMode.BUFFERED;
         if (!events) {
             exchange.onProgress(dispatcher.nowMs());
@@ -249,7 +252,10 @@
             bytesWithoutProgress += bytes.readableBytes();
         }
         forwardEvents(events);
-        if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
+        if (parser.hasForeignLine()) {
+            closeConnection();
+            onFailure("bytes that are no event in a stream without framing");
+        } else if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
             closeConnection();
             onFailure(parser.hasPartialEvent() ? "event without end" : "bytes without an event");
         }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
@@ -25,23 +25,37 @@
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
 
+    private final boolean framed;
     private byte[] pending = new byte[INITIAL_BYTES];
     private int length;
     private int scanned;
     private int lineStart;
     private boolean lineSeen;
+    private boolean foreign;
     private boolean onlyComments = true;
     private boolean idSeen;
     private long id = StreamEvent.NO_ID;
 
-    /** Creates a parser at the start of a stream. */
-    public EventStreamParser() {}
+    /** Creates a parser at the start of a stream with a length or chunks, all bytes of which belong to it. */
+    public EventStreamParser() {
+        this(ResponseFraming.CHUNKS);
+    }
+
+    /**
+     * Creates a parser at the start of a stream.
+     *
+     * @param framing how its response says where it ends; after a stream that ends with its connection, bytes may
+     *     follow that are none of its own
+     */
+    public EventStreamParser(ResponseFraming framing) {
+        this.framed = framing != ResponseFraming.CONNECTION;
+    }
 
     /**
      * Appends the next bytes of the stream.
      *
      * @param bytes the bytes
-     * @return the events that are complete now, in stream order
+     * @return the events that are complete now, in stream order; none from the one with the first foreign line on
      */
     public List<StreamEvent> feed(byte[] bytes) {
         if (length + bytes.length > pending.length) {
@@ -51,7 +65,7 @@
         length += bytes.length;
         List<StreamEvent> events = new ArrayList<>(1);
         int start = 0;
-        for (; scanned < length; scanned++) {
+        for (; scanned < length && !foreign; scanned++) {
             if (pending[scanned] == '\n') {
                 if (endsEvent(scanned)) {
                     events.add(new StreamEvent(id, Arrays.copyOfRange(pending, start, scanned + 1), onlyComments));
@@ -79,6 +93,16 @@
         return lineSeen || lineStart < length;
     }
 
+    /**
+     * Returns whether a line was received that is none of an event stream, so that nothing from its event on belongs to
+     * the stream.
+     *
+     * @return {@code true} if the stream must be given up; never for one with a length or chunks
+     */
+    public boolean hasForeignLine() {
+        return foreign;
+    }
+
     /**
      * Returns the blank lines after the last event, which end a stream that has no partial event.
      *
@@ -113,6 +137,7 @@
             return lineSeen;
         }
         lineSeen = true;
+        foreign = !framed && !EventLine.isValid(pending, lineStart, lineEnd);
         onlyComments &= pending[lineStart] == ':';
         if (!idSeen && startsWithIdField(lineEnd)) {
             idSeen = true;
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
@@ -118,4 +118,35 @@
         assertThat(parser.hasPartialEvent()).isTrue();
         assertThat(parser.feed(bytes("\n"))).extracting(StreamEvent::id).containsExactly(2L);
     }
+
+    /** Guards against the head of a second response that becomes an event. */
+    @Test
+    void returnsNoEventFromTheFirstForeignLineOnOfAStreamWithoutFraming() {
+        EventStreamParser parser = new EventStreamParser(ResponseFraming.CONNECTION);
+
+        assertThat(parser.feed(bytes("id: 1\ndata: a\n\nHTTP/1.1 500 X\r\nX-Request: r1\r\n\r\nid: 2\n\n")))
+                .extracting(StreamEvent::id)
+                .containsExactly(1L);
+        assertThat(parser.hasForeignLine()).isTrue();
+        assertThat(parser.feed(bytes("id: 3\n\n"))).isEmpty();
+    }
+
+    /** Guards against a head that is glued to an event that was cut off. */
+    @Test
+    void returnsNoEventThatContainsHeaderLines() {
+        EventStreamParser parser = new EventStreamParser(ResponseFraming.CONNECTION);
+
+        assertThat(parser.feed(bytes("id: 1\ndata: aHTTP/1.1 500 X\r\n"))).isEmpty();
+        assertThat(parser.hasForeignLine()).isFalse();
+        assertThat(parser.feed(bytes("X-Request: r1\r\n\r\n"))).isEmpty();
+        assertThat(parser.hasForeignLine()).isTrue();
+    }
+
+    @Test
+    void takesAnyLineOfAFramedStreamForItsOwn() {
+        EventStreamParser parser = new EventStreamParser(ResponseFraming.CHUNKS);
+
+        assertThat(parser.feed(bytes("Some text\n\n"))).hasSize(1);
+        assertThat(parser.hasForeignLine()).isFalse();
+    }
 }
