Believe no end of a run during which its upstream crashed

The end of a response without framing counts as that of its service's habit if something accepts connections at the address. A caller got a part of a run as a success whose upstream had crashed and started again meanwhile, and whose connection, kept open by a proxy, ended only then: the probe cleared what was known of the crash.

What is known after the probe is a pure input of the decision now (UpstreamLife): a crash since the request was sent or another upstream at the address cut the response off; an upstream that has begun to leave, or whose entry was removed or names another start, confirms nothing, and neither does a probe without an answer. EndJudge collects it, so that Attempt no longer does.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -11,7 +11,6 @@
 import org.kingcuproad.policy.gateway.BodyEnd;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.EventStreamParser;
-import org.kingcuproad.policy.gateway.FramingHabit;
 import org.kingcuproad.policy.gateway.ResponseEnd;
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
@@ -39,6 +38,7 @@
     private final Exchange exchange;
     private final Upstream upstream;
     private final long sentMs;
+    private final EndJudge endJudge;
     private final ResponseBuffer buffer;
     private EventStreamParser parser = new EventStreamParser();
     private ResponseMode mode = ResponseMode.AWAITING_HEAD;
@@ -59,7 +59,6 @@
     private boolean readingPaused;
     private boolean advanced;
     private boolean confirming;
-    private String endEvidence = "";
     private @Nullable BufferedResponse whole;
     private boolean endProven;
 
@@ -70,6 +69,7 @@
         this.sentMs = sentMs;
         this.lastEventMs = sentMs;
         this.buffer = new ResponseBuffer(exchange.connection().memoryAccount());
+        this.endJudge = new EndJudge(dispatcher, upstream);
     }
 
     String requestId() {
@@ -336,35 +336,17 @@
             end();
             dispatcher.onOutcome(this, discarded);
         } else {
-            switch (ResponseEnd.of(endedResponse(response, requestWritten), dispatcher.nowMs())) {
-                case ResponseEnd.Complete end -> {
-                    endProven = true;
-                    complete(end.evidence());
-                }
-                case ResponseEnd.CutOff end -> onDisconnected(end.reason());
-                case ResponseEnd.Unconfirmed end -> probeEnd("");
-                case ResponseEnd.Probable end -> probeEnd(end.evidence());
+            ResponseEnd end =
+                    endJudge.ofEnd(framing, requestWritten, bodyEnd(response), exchange.deadlineMs(), endedEvents());
+            switch (end) {
+                case ResponseEnd.Complete complete -> complete(complete.evidence());
+                case ResponseEnd.CutOff cutOff -> onDisconnected(cutOff.reason());
+                case ResponseEnd.Unconfirmed unconfirmed -> probeEnd();
+                case ResponseEnd.Probable probable -> probeEnd();
             }
         }
     }
 
-    private EndedResponse endedResponse(HttpResponse response, boolean requestWritten) {
-        ForwardedResponse forwarded = exchange.forwarded();
-        EndedResponse.Events events = mode == ResponseMode.EVENTS
-                ? new EndedResponse.Events(
-                        true, parser.hasPartialEvent(), exchange.headSent(), advanced, forwarded.endedAfterLastEvent())
-                : EndedResponse.Events.NONE;
-        boolean unframed = framing == ResponseFraming.CONNECTION;
-        return new EndedResponse(
-                framing,
-                requestWritten,
-                bodyEnd(response),
-                unframed ? dispatcher.framingHabit().kind() : FramingHabit.Kind.UNKNOWN,
-                unframed && dispatcher.anyRankCrashed(),
-                exchange.deadlineMs(),
-                events);
-    }
-
     /** Returns what the body shows about its end, for which a buffered one is copied once. */
     private BodyEnd bodyEnd(HttpResponse response) {
         if (mode == ResponseMode.BUFFERED) {
@@ -377,17 +359,23 @@
         return receivedBytes > 0 ? BodyEnd.UNKNOWN : BodyEnd.EMPTY;
     }
 
-    /**
-     * Finds out whether the upstream has crashed.
-     *
-     * @param evidence why the response is complete if it has not, or empty
-     */
-    private void probeEnd(String evidence) {
+    private EndedResponse.Events endedEvents() {
+        return mode == ResponseMode.EVENTS
+                ? new EndedResponse.Events(
+                        true,
+                        parser.hasPartialEvent(),
+                        exchange.headSent(),
+                        advanced,
+                        exchange.forwarded().endedAfterLastEvent())
+                : EndedResponse.Events.NONE;
+    }
+
+    /** Finds out whether the upstream has crashed. */
+    private void probeEnd() {
         if (upstream.mayEndAsPlanned()) {
             // That it no longer listens would say nothing, so there is nothing that speaks against a crash either.
             onUnconfirmedEnd();
         } else {
-            endEvidence = evidence;
             confirming = true;
             dispatcher.confirmEnd(this);
         }
@@ -400,15 +388,13 @@
         }
         if (detached) {
             end();
-        } else if (result == ProbeResult.REFUSED) {
-            onFailure("the connection ended and the upstream no longer listens");
-        } else if (dispatcher.anyRankCrashed()) {
-            onFailure("the connection ended after another rank of the group had crashed");
-        } else if (!endEvidence.isEmpty() && result == ProbeResult.LISTENING) {
-            endProven = true;
-            complete(endEvidence);
-        } else {
-            onUnconfirmedEnd();
+            return;
+        }
+        switch (endJudge.ofProbe(result)) {
+            case ResponseEnd.Complete complete -> complete(complete.evidence());
+            case ResponseEnd.CutOff cutOff -> onFailure(cutOff.reason());
+            case ResponseEnd.Unconfirmed unconfirmed -> onUnconfirmedEnd();
+            case ResponseEnd.Probable probable -> onUnconfirmedEnd();
         }
     }
 
@@ -433,6 +419,7 @@
 
     private void complete(String evidence) {
         BufferedResponse bufferedResponse = whole;
+        endProven = true;
         recordHabit();
         end();
         dispatcher.responses().onComplete(this, evidence);
--- /dev/null
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -0,0 +1,71 @@
+package org.kingcuproad.gateway;
+
+import org.kingcuproad.policy.gateway.BodyEnd;
+import org.kingcuproad.policy.gateway.EndedResponse;
+import org.kingcuproad.policy.gateway.FramingHabit;
+import org.kingcuproad.policy.gateway.ResponseEnd;
+import org.kingcuproad.policy.gateway.ResponseFraming;
+import org.kingcuproad.policy.gateway.UpstreamLife;
+
+/** Collects what is known of the end of the response to one attempt, and has it decided whether that is complete. */
+final class EndJudge {
+
+    private final ServiceDispatcher dispatcher;
+    private final Upstream upstream;
+    private final int crashesBefore;
+    private String evidence = "";
+
+    /** Creates a judge of a response to a request that is about to be sent. */
+    EndJudge(ServiceDispatcher dispatcher, Upstream upstream) {
+        this.dispatcher = dispatcher;
+        this.upstream = upstream;
+        this.crashesBefore = upstream.crashes();
+    }
+
+    /**
+     * Returns whether a response is complete when its end has been read.
+     *
+     * @param framing how it says where it ends
+     * @param requestWritten whether the request could be written
+     * @param body what the body shows about its end
+     * @param deadlineMs time at which the upstream stops working on the request, in milliseconds
+     */
+    ResponseEnd ofEnd(
+            ResponseFraming framing,
+            boolean requestWritten,
+            BodyEnd body,
+            long deadlineMs,
+            EndedResponse.Events events) {
+        boolean unframed = framing == ResponseFraming.CONNECTION;
+        ResponseEnd end = ResponseEnd.of(
+                new EndedResponse(
+                        framing,
+                        requestWritten,
+                        body,
+                        unframed ? dispatcher.framingHabit().kind() : FramingHabit.Kind.UNKNOWN,
+                        unframed && dispatcher.anyRankCrashed(),
+                        deadlineMs,
+                        events),
+                dispatcher.nowMs());
+        evidence = end instanceof ResponseEnd.Probable probable ? probable.evidence() : "";
+        return end;
+    }
+
+    /** Returns whether the response is complete now that its upstream has been probed. */
+    ResponseEnd ofProbe(ProbeResult result) {
+        return ResponseEnd.ofProbed(evidence, life(result));
+    }
+
+    private UpstreamLife life(ProbeResult result) {
+        if (result == ProbeResult.REFUSED || upstream.replaced() || upstream.crashes() > crashesBefore) {
+            return UpstreamLife.ENDED;
+        }
+        if (dispatcher.anyRankCrashed()) {
+            return UpstreamLife.RANK_CRASHED;
+        }
+        if (upstream.mayEndAsPlanned()) {
+            return UpstreamLife.ENDS_AS_PLANNED;
+        }
+        return result == ProbeResult.LISTENING ? UpstreamLife.LISTENING : UpstreamLife.SILENT;
+    }
+}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -29,6 +29,7 @@
     private boolean removed;
     private boolean replaced;
     private boolean crashed;
+    private int crashes;
     private boolean leaving;
     private long backOffUntilMs = Long.MIN_VALUE / 2;
     private double slowdown = 1;
@@ -52,14 +53,27 @@
         closeIdleConnections();
     }
 
+    /** Returns whether a different upstream runs at the address. */
+    boolean replaced() {
+        return replaced;
+    }
+
     boolean crashed() {
         return crashed;
     }
 
     void setCrashed() {
+        if (!crashed) {
+            crashes++;
+        }
         crashed = true;
     }
 
+    /** Returns how often the upstream was found to have crashed; it may have started again since. */
+    int crashes() {
+        return crashes;
+    }
+
     /** Records that a process listens at the address, which may have started again before the store says so. */
     void setListening() {
         crashed = false;
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
@@ -238,6 +238,53 @@
         assertThat(received(ORDER_PATH, "r2")).startsWith("HTTP/1.1 200").endsWith(WHOLE_BODY);
     }
 
+    /** A proxy may end the connection of a run that a crash cut off when the upstream listens again. */
+    @Test
+    void deliversNoPartOfARunDuringWhichItsUpstreamCrashed() throws Exception {
+        fixture.setTimeoutMs(5_000);
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch restarted = new CountDownLatch(1);
+        ConnectionScript script = (accepted, listener) -> {
+            String request = FakeUpstream.read(accepted.getInputStream());
+            if (request.isEmpty()) {
+                return;
+            }
+            write(accepted, head(request, 200, "text/plain") + "text");
+            switch (FakeUpstream.header(request, "X-Request")) {
+                case "long" -> {
+                    begun.countDown();
+                    restarted.await(5, TimeUnit.SECONDS);
+                }
+                case "crash" -> listener.close();
+                default -> {}
+            }
+        };
+        ServerSocket crashing = upstream(script);
+        fixture.start();
+        for (int i = 0; i < 25; i++) {
+            fixture.get("/IDEMPOTENT/a", "k1", "r" + i);
+        }
+        assertThat(fixture.get("/IDEMPOTENT/a", "k1", "sound").status()).isEqualTo(200);
+        CompletableFuture<Integer> cut = CompletableFuture.supplyAsync(
+                () -> {
+                    try {
+                        return fixture.get("/IDEMPOTENT/a", "k1", "long").status();
+                    } catch (Exception failed) {
+                        throw new IllegalStateException(failed);
+                    }
+                },
+                threads());
+        assertThat(begun.await(5, TimeUnit.SECONDS)).isTrue();
+        assertThat(fixture.get("/IDEMPOTENT/a", "k1", "crash").status()).isEqualTo(502);
+        ServerSocket listening = new ServerSocket();
+        listening.setReuseAddress(true);
+        listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), crashing.getLocalPort()));
+        serve(listening, script);
+        restarted.countDown();
+
+        assertThat(cut.get(5, TimeUnit.SECONDS)).isEqualTo(502);
+    }
+
     /** Some upstreams leave without a word: their entry is removed, and they exit after their last response. */
     @Test
     void deliversAWholeOrderOfAnUpstreamThatExitsAfterItsEntryWasRemoved() throws Exception {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -65,6 +65,22 @@
         };
     }
 
+    /**
+     * Decides about a response for which its upstream has been probed, since its end was that of the connection.
+     *
+     * @param evidence why the response is complete if the upstream has not crashed, or empty
+     * @param life what is known of the upstream after the probe
+     * @return whether the response is complete; never {@link Probable}
+     */
+    static ResponseEnd ofProbed(String evidence, UpstreamLife life) {
+        return switch (life) {
+            case LISTENING -> evidence.isEmpty() ? new Unconfirmed() : new Complete(evidence);
+            case SILENT, ENDS_AS_PLANNED -> new Unconfirmed();
+            case ENDED -> new CutOff("the connection ended and the upstream no longer listens");
+            case RANK_CRASHED -> new CutOff("the connection ended after another rank of the group had crashed");
+        };
+    }
+
     private static ResponseEnd ofConnection(EndedResponse response, long nowMs) {
         EndedResponse.Events events = response.events();
         if (!response.requestWritten()) {
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/ResponseEndTest.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Guards against taking a response that was cut off for a complete one. */
@@ -153,4 +154,18 @@
                 .as(end)
                 .isEqualTo(expected);
     }
+
+    @ParameterizedTest
+    @CsvSource({
+        "LISTENING, Complete, Unconfirmed",
+        "SILENT, Unconfirmed, Unconfirmed",
+        "ENDS_AS_PLANNED, Unconfirmed, Unconfirmed",
+        "ENDED, CutOff, CutOff",
+        "RANK_CRASHED, CutOff, CutOff"
+    })
+    void decidesWithWhatIsKnownOfTheUpstreamAfterTheProbe(UpstreamLife life, String probable, String unconfirmed) {
+        assertThat(ResponseEnd.ofProbed("evidence", life).getClass().getSimpleName())
+                .isEqualTo(probable);
+        assertThat(ResponseEnd.ofProbed("", life).getClass().getSimpleName()).isEqualTo(unconfirmed);
+    }
 }
