Judge a whole body of generated traffic by what was written

The callers had got the whole JSON body of the run. What was missing is a second answer that the upstream would have written behind it: the upstream crashed, by another of its runs, while it waited for that, and the oracle counted the run as cut off because the second answer was.

The oracle was wrong. If the upstream has closed the connection itself before the first byte of the second answer, the run ends as whole, and the answer has to be exactly its body. In all other cases it is as strict as before: a run whose second answer was written, or whose body was cut off, has no whole answer.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedRun.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedRun.java
@@ -71,6 +71,12 @@
         trailing = bytes;
     }
 
+    /** Records that the connection had ended before the first byte after the body was written. */
+    void onTrailingUnwritten() {
+        trailing = new byte[0];
+        end = End.WHOLE;
+    }
+
     int status() {
         return late ? GATEWAY_TIMEOUT : response.status();
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedUpstream.java
@@ -208,7 +208,15 @@
         byte[] copy = stutter.bytes(response.request().id(), response.seal());
         run.onTrailing(copy);
         Thread.sleep(stutter.delayMs());
-        connection.getOutputStream().write(copy);
+        try {
+            connection.getOutputStream().write(copy);
+        } catch (IOException failed) {
+            if (connection.isClosed()) {
+                // The upstream has crashed meanwhile, so the body is all that was written.
+                run.onTrailingUnwritten();
+            }
+            throw failed;
+        }
         throw new EOFException("the second answer ends with the connection");
     }
 
