--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -5,10 +5,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.policy.gateway.AttemptProgress;
+import org.kingcuproad.policy.gateway.BodyEnd;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.EventStreamParser;
 import org.kingcuproad.policy.gateway.ResponseEnd;
@@ -21,18 +21,6 @@
  */
 final class Attempt {
 
-    /**
-     * Non-streaming responses up to this size are buffered until they are complete, so that a broken one can be
-     * replaced by a retry; larger ones are forwarded as they arrive.
-     */
-    private static final int MAX_BUFFERED_BYTES = 256 << 10;
-
-    /** Size up to which a response is buffered also while memory is short. */
-    private static final int MIN_BUFFERED_BYTES = 16 << 10;
-
-    /** A buffer that grows takes up to twice the bytes that it holds. */
-    private static final int BUFFER_GROWTH = 2;
-
     /** Maximum size of a body that is read only to use the connection again. */
     private static final long MAX_DISCARDED_BYTES = 64 << 10;
 
@@ -50,9 +38,9 @@
     private final Exchange exchange;
     private final Upstream upstream;
     private final long sentMs;
-    private final EventStreamParser parser = new EventStreamParser();
-    private ByteArrayOutputStream buffered = new ByteArrayOutputStream();
-    private long heldBytes;
+    private final EndJudge endJudge;
+    private final ResponseBuffer buffer;
+    private EventStreamParser parser = new EventStreamParser();
     private ResponseMode mode = ResponseMode.AWAITING_HEAD;
     private @Nullable HttpResponse head;
     private @Nullable AttemptOutcome discardOutcome;
@@ -71,7 +59,7 @@
     private boolean readingPaused;
     private boolean advanced;
     private boolean confirming;
-    private String endEvidence = "";
+    private @Nullable BufferedResponse whole;
     private boolean endProven;
 
     Attempt(ServiceDispatcher dispatcher, Exchange exchange, Upstream upstream, long sentMs) {
@@ -80,6 +68,8 @@
         this.upstream = upstream;
         this.sentMs = sentMs;
         this.lastEventMs = sentMs;
+        this.buffer = new ResponseBuffer(exchange.connection().memoryAccount());
+        this.endJudge = new EndJudge(dispatcher, upstream);
     }
 
     String requestId() {
@@ -178,7 +168,7 @@
         head = response;
         framing = responseFraming;
         dispatcher.onNotices(upstream, response);
-        if (succeeded()) {
+        if (succeeded() && responseFraming != ResponseFraming.CONNECTION) {
             dispatcher.framingHabit().onResponse(responseFraming);
         }
         boolean resumeIgnored = exchange.headSent() && !isEventStream(response);
@@ -195,6 +185,9 @@
             return;
         }
         boolean events = isEventStream(response);
+        if (events) {
+            parser = new EventStreamParser(framing);
+        }
         mode = events ? ResponseMode.EVENTS : ResponseMode.BUFFERED;
         if (!events) {
             exchange.onProgress(dispatcher.nowMs());
@@ -226,25 +219,14 @@
     }
 
     private void buffer(ByteBuf bytes) {
-        buffered.writeBytes(ByteBufUtil.getBytes(bytes));
-        hold((long) buffered.size() * BUFFER_GROWTH);
-        boolean memoryShort = buffered.size() > MIN_BUFFERED_BYTES
-                && exchange.connection().memoryAccount().exhausted();
-        if (buffered.size() > MAX_BUFFERED_BYTES || memoryShort) {
-            byte[] bytesSoFar = buffered.toByteArray();
-            buffered = new ByteArrayOutputStream(0);
-            hold(0);
+        if (!buffer.add(bytes)) {
+            byte[] bytesSoFar = buffer.drain();
             forwardHead();
             mode = ResponseMode.FORWARDED;
             forward(bytesSoFar);
         }
     }
 
-    private void hold(long bytes) {
-        exchange.connection().memoryAccount().add(bytes - heldBytes);
-        heldBytes = bytes;
-    }
-
     private void forward(byte[] bytes) {
         exchange.forwarded().onBytes(bytes.length);
         exchange.connection().sendContent(bytes);
@@ -262,14 +244,19 @@
 
     private void onEventBytes(ByteBuf bytes) {
         List<StreamEvent> events = parser.feed(ByteBufUtil.getBytes(bytes));
-        hold(parser.bufferBytes());
+        buffer.hold(parser.bufferBytes());
         if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
             bytesWithoutProgress = 0;
+            advanced = true;
+            recordProgress(events);
         } else {
             bytesWithoutProgress += bytes.readableBytes();
         }
-        onEvents(events);
-        if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
+        forwardEvents(events);
+        if (parser.hasForeignLine()) {
+            closeConnection();
+            onFailure("bytes that are no event in a stream without framing");
+        } else if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
             closeConnection();
             onFailure(parser.hasPartialEvent() ? "event without end" : "bytes without an event");
         }
@@ -296,11 +283,7 @@
         dispatcher.onEvent(nowMs);
     }
 
-    private void onEvents(List<StreamEvent> events) {
-        if (events.stream().anyMatch(event -> event.advances(exchange.lastEventId()))) {
-            advanced = true;
-            recordProgress(events);
-        }
+    private void forwardEvents(List<StreamEvent> events) {
         receivedEvents += events.size();
         for (StreamEvent event : events) {
             if (event.id() != StreamEvent.NO_ID && event.id() <= exchange.lastEventId()) {
@@ -353,48 +336,46 @@
             end();
             dispatcher.onOutcome(this, discarded);
         } else {
-            switch (ResponseEnd.of(endedResponse(response, requestWritten), dispatcher.nowMs())) {
-                case ResponseEnd.Complete end -> {
-                    endProven = true;
-                    complete(end.evidence());
-                }
-                case ResponseEnd.CutOff end -> onDisconnected(end.reason());
-                case ResponseEnd.Unconfirmed end -> probeEnd("");
-                case ResponseEnd.Probable end -> probeEnd(end.evidence());
+            ResponseEnd end =
+                    endJudge.ofEnd(framing, requestWritten, bodyEnd(response), exchange.deadlineMs(), endedEvents());
+            switch (end) {
+                case ResponseEnd.Complete complete -> complete(complete.evidence());
+                case ResponseEnd.CutOff cutOff -> onDisconnected(cutOff.reason());
+                case ResponseEnd.Unconfirmed unconfirmed -> probeEnd();
+                case ResponseEnd.Probable probable -> probeEnd();
             }
         }
     }
 
-    private EndedResponse endedResponse(HttpResponse response, boolean requestWritten) {
-        ForwardedResponse forwarded = exchange.forwarded();
-        EndedResponse.Events events = mode == ResponseMode.EVENTS
+    /** Returns what the body shows about its end, for which a buffered one is copied once. */
+    private BodyEnd bodyEnd(HttpResponse response) {
+        if (mode == ResponseMode.BUFFERED) {
+            BufferedResponse copy = new BufferedResponse(response, buffer.body());
+            whole = copy;
+            return framing == ResponseFraming.CONNECTION
+                    ? copy.bodyEnd(dispatcher.names().requestId())
+                    : BodyEnd.UNKNOWN;
+        }
+        return receivedBytes > 0 ? BodyEnd.UNKNOWN : BodyEnd.EMPTY;
+    }
+
+    private EndedResponse.Events endedEvents() {
+        return mode == ResponseMode.EVENTS
                 ? new EndedResponse.Events(
-                        true, parser.hasPartialEvent(), exchange.headSent(), advanced, forwarded.endedAfterLastEvent())
+                        true,
+                        parser.hasPartialEvent(),
+                        exchange.headSent(),
+                        advanced,
+                        exchange.forwarded().endedAfterLastEvent())
                 : EndedResponse.Events.NONE;
-        return new EndedResponse(
-                framing,
-                requestWritten,
-                receivedBytes > 0,
-                mode == ResponseMode.BUFFERED
-                        && framing == ResponseFraming.CONNECTION
-                        && BufferedResponse.isWholeDocument(response, buffered.toByteArray()),
-                dispatcher.framingHabit().kind(),
-                dispatcher.anyRankCrashed(),
-                exchange.deadlineMs(),
-                events);
     }
 
-    /**
-     * Finds out whether the upstream has crashed.
-     *
-     * @param evidence why the response is complete if it has not, or empty
-     */
-    private void probeEnd(String evidence) {
+    /** Finds out whether the upstream has crashed. */
+    private void probeEnd() {
         if (upstream.mayEndAsPlanned()) {
             // That it no longer listens would say nothing, so there is nothing that speaks against a crash either.
             onUnconfirmedEnd();
         } else {
-            endEvidence = evidence;
             confirming = true;
             dispatcher.confirmEnd(this);
         }
@@ -407,19 +388,25 @@
         }
         if (detached) {
             end();
-        } else if (result == ProbeResult.REFUSED) {
-            onFailure("the connection ended and the upstream no longer listens");
-        } else if (dispatcher.anyRankCrashed()) {
-            onFailure("the connection ended after another rank of the group had crashed");
-        } else if (!endEvidence.isEmpty() && result == ProbeResult.LISTENING) {
-            endProven = true;
-            complete(endEvidence);
-        } else {
-            onUnconfirmedEnd();
+            return;
+        }
+        switch (endJudge.ofProbe(result)) {
+            case ResponseEnd.Complete complete -> complete(complete.evidence());
+            case ResponseEnd.CutOff cutOff -> onFailure(cutOff.reason());
+            case ResponseEnd.Unconfirmed unconfirmed -> onUnconfirmedEnd();
+            case ResponseEnd.Probable probable -> onUnconfirmedEnd();
+        }
+    }
+
+    /** Records an orderly end of a successful response that states none; what was cut off shows no habit. */
+    private void recordHabit() {
+        if (succeeded() && framing == ResponseFraming.CONNECTION) {
+            dispatcher.framingHabit().onResponse(framing);
         }
     }
 
     private void onUnconfirmedEnd() {
+        recordHabit();
         exchange.forwarded().onUnconfirmedEnd();
         String reason = "the response states no end, and its connection ended";
         if (replaceable()) {
@@ -431,12 +418,14 @@
     }
 
     private void complete(String evidence) {
-        HttpResponse response = head;
+        BufferedResponse bufferedResponse = whole;
+        endProven = true;
+        recordHabit();
         end();
         dispatcher.responses().onComplete(this, evidence);
         exchange.forwarded().onComplete(evidence);
-        if (mode == ResponseMode.BUFFERED && response != null) {
-            BufferedResponse bufferedResponse = new BufferedResponse(response, buffered.toByteArray());
+        if (bufferedResponse != null) {
+            HttpResponse response = bufferedResponse.head();
             if (response.status().codeClass() == HttpStatusClass.SERVER_ERROR) {
                 dispatcher.onOutcome(
                         this,
@@ -488,7 +477,7 @@
 
     private void end() {
         ended = true;
-        hold(0);
+        buffer.hold(0);
         upstream.onAttemptEnded();
         if (!responseStarted) {
             upstream.onPrefillEnded(exchange.promptTokens());
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -58,7 +58,27 @@
         if (response.framing() != ResponseFraming.CONNECTION) {
             return new Complete(response.framing().toString());
         }
-        return response.wholeDocument() ? new Complete("whole document") : ofConnection(response, nowMs);
+        return switch (response.body()) {
+            case WHOLE -> new Complete("whole document");
+            case NOT_WHOLE -> new CutOff("the connection ended within the body, or something else follows it");
+            case EMPTY, UNKNOWN -> ofConnection(response, nowMs);
+        };
+    }
+
+    /**
+     * Decides about a response for which its upstream has been probed, since its end was that of the connection.
+     *
+     * @param evidence why the response is complete if the upstream has not crashed, or empty
+     * @param life what is known of the upstream after the probe
+     * @return whether the response is complete; never {@link Probable}
+     */
+    static ResponseEnd ofProbed(String evidence, UpstreamLife life) {
+        return switch (life) {
+            case LISTENING -> evidence.isEmpty() ? new Unconfirmed() : new Complete(evidence);
+            case SILENT, ENDS_AS_PLANNED -> new Unconfirmed();
+            case ENDED -> new CutOff("the connection ended and the upstream no longer listens");
+            case RANK_CRASHED -> new CutOff("the connection ended after another rank of the group had crashed");
+        };
     }
 
     private static ResponseEnd ofConnection(EndedResponse response, long nowMs) {
@@ -76,7 +96,7 @@
         if (events.expected() && !events.advanced()) {
             return ofEmptyResumption(response);
         }
-        if (!response.hasBody()) {
+        if (response.body() == BodyEnd.EMPTY) {
             return new CutOff("the connection ended before the first byte of the body");
         }
         return response.habit() == FramingHabit.Kind.ENDS_WITH_CONNECTION
