Resume abandoned calls in the agent's CutResponseTest

The test failed now and then beside a high load with "the call closed before the end of the response". The cause behind these words is UNAVAILABLE, "No message arrived from the entry within the heartbeat timeout": the agent abandons a call on which nothing arrived for 1.5 s, as it should, and an entry then goes on with another call. The test's client didn't.

The test now reads a response as an entry does: after a call that was abandoned for this reason it resumes the response, or dispatches the request again if it was never accepted, with five calls at most. Any other end of a call fails as before, and the checks of the responses are the same; the reader still fails on a byte that is missing or comes twice.

--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/CutResponseTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/CutResponseTest.java
@@ -30,6 +30,9 @@
     private static final String BODY = "{\"order\":1,\"items\":[2]}";
     private static final int CLIENTS = 8;
 
+    /** Calls after which a response has to have ended. */
+    private static final int MAX_CALLS = 5;
+
     /** Time for the agent to read what was written, before a connection is reset or closed late. */
     private static final long PAUSE_MS = 15;
 
@@ -130,12 +133,25 @@
                 .flatMap(shape -> Arrays.stream(End.values()).map(end -> Arguments.of(shape, end)));
     }
 
+    /** Reads a response as an entry does, which goes on with another call if the agent abandons one. */
     private static ResponseReader read(Agent agent, int cut) throws InterruptedException {
-        Dispatch.Builder dispatch = ExecuteClient.dispatch("r-" + cut, AgentFixture.INCARNATION, "GET", "/" + cut, "")
+        String requestId = "r-" + cut;
+        Dispatch.Builder dispatch = ExecuteClient.dispatch(requestId, AgentFixture.INCARNATION, "GET", "/" + cut, "")
                 .setIdempotent(cut % 2 == 0);
-        try (ExecuteClient client = new ExecuteClient(agent.port()).send(dispatch)) {
-            return new ResponseReader().readAll(client);
+        ResponseReader reader = new ResponseReader();
+        for (int calls = 0; calls < MAX_CALLS; calls++) {
+            try (ExecuteClient client = new ExecuteClient(agent.port())) {
+                if (reader.accepted()) {
+                    client.send(reader.resume(requestId, AgentFixture.INCARNATION));
+                } else {
+                    client.send(dispatch);
+                }
+                if (reader.readUntilAbandoned(client)) {
+                    return reader;
+                }
+            }
         }
+        throw new AssertionError("the agent abandoned " + MAX_CALLS + " calls for one response");
     }
 
     private static boolean succeeded(ResponseReader reader) {
--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ResponseReader.java
@@ -13,6 +13,8 @@
 /** Assembles one response from any number of connections and checks that no byte is lost or repeated. */
 final class ResponseReader {
 
+    private static final String ABANDONED = "within the heartbeat timeout";
+
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private boolean accepted;
     private int status;
@@ -43,6 +45,28 @@
         return this;
     }
 
+    /**
+     * Reads until the response ends, or until the agent abandons the call for want of messages, as it does if the
+     * process got no processor time for the heartbeat timeout. Any other end of the call fails.
+     *
+     * @return whether the response ended
+     */
+    boolean readUntilAbandoned(ExecuteClient client) throws InterruptedException {
+        for (ExecuteResponse response = client.next(); response != null; response = client.next()) {
+            handle(response);
+            if (ended()) {
+                client.halfClose();
+                return true;
+            }
+            client.acknowledge(body.size());
+        }
+        Throwable failure = client.failure();
+        if (failure == null || !String.valueOf(failure.getMessage()).contains(ABANDONED)) {
+            throw new AssertionError("the call closed before the end of the response", failure);
+        }
+        return false;
+    }
+
     Resume.Builder resume(String requestId, long incarnation) {
         return Resume.newBuilder()
                 .setRequestId(requestId)
