Keep the line of a success beside a flood of refusals

Requests that succeeded left no line. The lines of "request finished" were limited together, 100 in a second, and refusals write the same line: where clients come back at once after refusals, the first 100 of a second are refusals, and whatever is answered later in it is left out.

The limit counts each status by itself now.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AccessLog.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AccessLog.java
@@ -25,7 +25,8 @@
     record Summary(int status, String outcome, String upstreamId, long durationMs, int waiting, boolean stopping) {}
 
     static void write(DecisionLog log, Exchange exchange, Summary summary, StoreView storeView) {
-        log.event("request finished")
+        // A flood of refusals would leave out the lines of the few requests that succeed beside it.
+        log.event("request finished", String.valueOf(summary.status))
                 .field("request", exchange.requestId())
                 .field("route", exchange.route().name())
                 .field("status", summary.status)
--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/DecisionLog.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/DecisionLog.java
@@ -37,9 +37,20 @@
      * @param name what happened, the same text for each event of its kind
      * @return the line, to be given its fields and written
      */
-    public synchronized LogEvent event(String name) {
+    public LogEvent event(String name) {
+        return event(name, "");
+    }
+
+    /**
+     * Begins a line of an event of which some kinds are rare, so that a flood of others doesn't keep them out.
+     *
+     * @param name what happened, the same text for each event of its kind
+     * @param kind kind whose lines are counted together; there must be few of them
+     * @return the line, to be given its fields and written
+     */
+    public synchronized LogEvent event(String name, String kind) {
         long nowMs = wallMs.getAsLong();
-        Rate rate = rates.computeIfAbsent(name, unused -> new Rate());
+        Rate rate = rates.computeIfAbsent(kind.isEmpty() ? name : name + " " + kind, unused -> new Rate());
         if (nowMs / SECOND_MS != rate.second) {
             rate.second = nowMs / SECOND_MS;
             rate.lines = 0;
