Write the status that was passed on of a large failure

A caller got a failure of more than 256 KiB as its upstream had sent it, and "request finished" and the metrics called it 200: the end of each response that is passed on as it arrives was recorded as a success.

AccessLogTest found status 200 for a 500 before, 1 of 1.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -322,7 +322,11 @@
         crashProtection.onResponse(attempt);
         recordDuration(exchange);
         exchange.connection().sendEnd();
-        gateway.onFinished(exchange, 200, "streamed", attempt.upstream().entry().id());
+        gateway.onFinished(
+                exchange,
+                attempt.summary().status(),
+                "streamed",
+                attempt.upstream().entry().id());
     }
 
     /** Retries or ends a request after an attempt without a usable response. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/AccessLogTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/AccessLogTest.java
@@ -17,6 +17,8 @@
     /** More than the lines of one kind that are written in a second. */
     private static final int REFUSALS = 130;
 
+    private static final int LARGE_BYTES = 300 << 10;
+
     private final ByteArrayOutputStream written = new ByteArrayOutputStream();
     private final GatewayFixture fixture;
 
@@ -62,4 +64,17 @@
 
         assertThat(lineOf("served")).contains("\"status\":200");
     }
+
+    /** A response too large to be held is passed on as it arrives, whatever its status is. */
+    @Test
+    void writesTheStatusOfALargeFailure() throws Exception {
+        String body = "x".repeat(LARGE_BYTES);
+        fixture.upstream(request -> new FakeUpstream.Reply(
+                FakeUpstream.response(FakeUpstream.header(request, "X-Request"), 500, GatewayFixture.SEAL, body),
+                false));
+        fixture.start();
+        assertThat(fixture.get("/IDEMPOTENT/a", "k1", "failed").status()).isEqualTo(500);
+
+        assertThat(lineOf("failed")).contains("\"status\":500");
+    }
 }
