Count the log lines that were left out or lost

How many lines of a process are missing was told only by a later line: of the same event, or after an output that had stood still is read again. A process that ends before tells nothing.

The metrics have log_lines_suppressed and log_lines_dropped, counted since the start. New counters; their tests don't compile on the code before.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -109,6 +109,8 @@
         this.eventLoop = eventLoops.next();
         this.clock = clock;
         this.log = log;
+        metrics.expose("log_lines_suppressed", log::suppressedLines);
+        metrics.expose("log_lines_dropped", log::droppedLines);
         this.memory = HeldMemory.ofProcess(metrics, log);
         this.eventLoopMonitor = new EventLoopMonitor(metrics, log);
         this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ProcessMetrics.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ProcessMetrics.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.Snapshot;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** Counters and latency histograms of a process, rendered as text with one {@code name value} pair per line. */
 public final class ProcessMetrics {
@@ -29,6 +30,16 @@
         registry.counter(name).inc();
     }
 
+    /**
+     * Adds a value that is read whenever the metrics are rendered.
+     *
+     * @param name name of the value
+     * @param value tells the present value
+     */
+    public void expose(String name, LongSupplier value) {
+        registry.registerGauge(name, value::getAsLong);
+    }
+
     /**
      * Records a duration.
      *
@@ -51,6 +62,9 @@
         registry.getCounters()
                 .forEach((name, counter) ->
                         text.append(name).append(' ').append(counter.getCount()).append('\n'));
+        registry.getGauges()
+                .forEach((name, gauge) ->
+                        text.append(name).append(' ').append(gauge.getValue()).append('\n'));
         registry.getHistograms().forEach((name, histogram) -> {
             Snapshot snapshot = histogram.getSnapshot();
             text.append(name).append("_count ").append(histogram.getCount()).append('\n');
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/AccessLogTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/AccessLogTest.java
@@ -77,4 +77,11 @@
 
         assertThat(lineOf("failed")).contains("\"status\":500");
     }
+
+    @Test
+    void countsTheLinesThatWereLeftOut() throws Exception {
+        Gateway gateway = fixture.start();
+
+        assertThat(gateway.metrics().render()).contains("log_lines_suppressed 0\n", "log_lines_dropped 0\n");
+    }
 }
--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/DecisionLog.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/DecisionLog.java
@@ -19,6 +19,7 @@
     private final LineSink sink;
     private final LongSupplier wallMs;
     private final Map<String, Rate> rates = new HashMap<>();
+    private long suppressedLines;
 
     /**
      * Creates a log.
@@ -59,6 +60,7 @@
         rate.lines++;
         if (!wanted) {
             rate.suppressed++;
+            suppressedLines++;
         }
         LogEvent event = new LogEvent("{\"timeMs\":" + nowMs + ",\"event\":\"" + name + "\"", sink, wanted);
         if (wanted && rate.suppressed > 0) {
@@ -68,6 +70,24 @@
         return event;
     }
 
+    /**
+     * Returns how many lines were left out because of their rate.
+     *
+     * @return number of lines since the start
+     */
+    public synchronized long suppressedLines() {
+        return suppressedLines;
+    }
+
+    /**
+     * Returns how many lines were lost because the output took them too slowly or not at all.
+     *
+     * @return number of lines since the start
+     */
+    public long droppedLines() {
+        return sink.droppedLines();
+    }
+
     private static final class Rate {
 
         private long second;
--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/LineSink.java
@@ -22,6 +22,7 @@
 
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong droppedInTotal = new AtomicLong();
     private final AtomicLong unwritten = new AtomicLong();
     private final OutputStream output;
 
@@ -47,9 +48,19 @@
         if (!queue.offer(line)) {
             unwritten.decrementAndGet();
             dropped.incrementAndGet();
+            droppedInTotal.incrementAndGet();
         }
     }
 
+    /**
+     * Returns how many lines were lost because the output took them too slowly or not at all.
+     *
+     * @return number of lines since the start
+     */
+    public long droppedLines() {
+        return droppedInTotal.get();
+    }
+
     /**
      * Waits until all lines are written, or the time is over.
      *
@@ -87,6 +98,7 @@
             } catch (IOException outputGone) {
                 // There is no other place to report it; lines are counted as lost.
                 dropped.addAndGet(batch.size());
+                droppedInTotal.addAndGet(taken);
             }
             batch.clear();
             unwritten.addAndGet(-taken);
--- a/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/log/DecisionLogTest.java
+++ b/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/log/DecisionLogTest.java
@@ -45,4 +45,14 @@
 
         assertThat(lines()).last().asString().contains("\"suppressed\":" + (FLOOD - LIMIT));
     }
+
+    /** A process that is killed, or has no later line of the kind, never writes the count. */
+    @Test
+    void countsTheLinesThatWereLeftOut() {
+        for (int number = 0; number < FLOOD; number++) {
+            log.event("ended", "refused").write();
+        }
+
+        assertThat(log.suppressedLines()).isEqualTo(FLOOD - LIMIT);
+    }
 }
--- a/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/log/LineSinkTest.java
+++ b/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/log/LineSinkTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
@@ -48,4 +49,21 @@
 
         assertThat(output.text()).isEqualTo("last line\n");
     }
+
+    /** Without a reader no line tells how many were lost. */
+    @Test
+    void countsTheLinesThatAnOutputWithoutReaderLost() {
+        LineSink sink = new LineSink(new OutputStream() {
+            @Override
+            public void write(int value) throws IOException {
+                throw new IOException("no reader");
+            }
+        });
+        sink.offer("first");
+        sink.offer("second");
+
+        sink.flush(10 * WRITE_MS);
+
+        assertThat(sink.droppedLines()).isEqualTo(2);
+    }
 }
