Pass on no promise that no upstream stands by

A caller of an order got 503, 429 or 408 when an upstream had written that status with neither its seal nor the header that says that the request was not run. Callers take these statuses for the promise that the order never runs; an upstream in trouble that has run it writes them too. They end in 502 now, and a request that may be repeated goes elsewhere as before. With the seal the status is the upstream's own and is passed on unchanged.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UnusableResponse.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UnusableResponse.java
@@ -4,10 +4,14 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.Optional;
+import java.util.Set;
 
 /** Decides from the head of a response whether it is of no use to the caller. */
 final class UnusableResponse {
 
+    /** Statuses by which callers know that a request has not run: 408, 429 and 503. */
+    private static final Set<Integer> PROMISES = Set.of(408, 429, 503);
+
     private UnusableResponse() {}
 
     /**
@@ -27,6 +31,11 @@
         if (notRun || misdirected) {
             return Optional.of(new AttemptOutcome.NotRun("status " + status.code(), misdirected));
         }
+        if (PROMISES.contains(status.code())
+                && response.headers().get(names.seal(), "").isBlank()) {
+            // The caller would take the status for a promise that the request will never run.
+            return Optional.of(new AttemptOutcome.Lost("status " + status.code() + " that no upstream stands by"));
+        }
         return resumeIgnored
                 ? Optional.of(
                         new AttemptOutcome.Lost("status " + status.code() + " and no events when resuming the stream"))
