--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/DecisionLog.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/log/DecisionLog.java
@@ -19,6 +19,7 @@
     private final LineSink sink;
     private final LongSupplier wallMs;
     private final Map<String, Rate> rates = new HashMap<>();
+    private long suppressedLines;
 
     /**
      * Creates a log.
@@ -37,9 +38,20 @@
      * @param name what happened, the same text for each event of its kind
      * @return the line, to be given its fields and written
      */
-    public synchronized LogEvent event(String name) {
+    public LogEvent event(String name) {
+        return event(name, "");
+    }
+
+    /**
+     * Begins a line of an event of which some kinds are rare, so that a flood of others doesn't keep them out.
+     *
+     * @param name what happened, the same text for each event of its kind
+     * @param kind kind whose lines are counted together; there must be few of them
+     * @return the line, to be given its fields and written
+     */
+    public synchronized LogEvent event(String name, String kind) {
         long nowMs = wallMs.getAsLong();
-        Rate rate = rates.computeIfAbsent(name, unused -> new Rate());
+        Rate rate = rates.computeIfAbsent(kind.isEmpty() ? name : name + " " + kind, unused -> new Rate());
         if (nowMs / SECOND_MS != rate.second) {
             rate.second = nowMs / SECOND_MS;
             rate.lines = 0;
@@ -48,6 +60,7 @@
         rate.lines++;
         if (!wanted) {
             rate.suppressed++;
+            suppressedLines++;
         }
         LogEvent event = new LogEvent("{\"timeMs\":" + nowMs + ",\"event\":\"" + name + "\"", sink, wanted);
         if (wanted && rate.suppressed > 0) {
@@ -57,6 +70,24 @@
         return event;
     }
 
+    /**
+     * Returns how many lines were left out because of their rate.
+     *
+     * @return number of lines since the start
+     */
+    public synchronized long suppressedLines() {
+        return suppressedLines;
+    }
+
+    /**
+     * Returns how many lines were lost because the output took them too slowly or not at all.
+     *
+     * @return number of lines since the start
+     */
+    public long droppedLines() {
+        return sink.droppedLines();
+    }
+
     private static final class Rate {
 
         private long second;
