Apply the limits in force to each request of an open connection

A client that connected before the gateway had read its first configuration kept the default limits for as long as its connection lasted: a larger body or larger headers than configured were accepted, headers that the configuration allows were answered 431, and the timeouts were 5 s and 15 s. The same held for a connection older than any later change.

The limits were read once, when a connection was accepted. The limit of the headers is fixed in Netty's decoder, so the decoder is replaced between two requests; the encoder stays, because it knows the methods of the requests that are not answered yet. A request whose first line was decoded before a change keeps the limits of its headers.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.BodyAdmission;
@@ -60,7 +61,8 @@
 
     private final Gateway gateway;
     private final Channel channel;
-    private final ClientLimits limits;
+    private final Supplier<ClientLimits> currentLimits;
+    private ClientLimits limits;
     private final HeldMemory memory;
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private @Nullable HttpRequest head;
@@ -81,10 +83,16 @@
     private boolean requestReceived;
     private UploadProgress upload;
 
-    ClientConnection(Gateway gateway, Channel channel, ClientLimits limits, HeldMemory memory) {
+    /**
+     * Creates the handler of a connection that has just been opened.
+     *
+     * @param currentLimits supplies the limits in force, which apply to each request from its headers on
+     */
+    ClientConnection(Gateway gateway, Channel channel, Supplier<ClientLimits> currentLimits, HeldMemory memory) {
         this.gateway = gateway;
         this.channel = channel;
-        this.limits = limits;
+        this.currentLimits = currentLimits;
+        this.limits = currentLimits.get();
         this.memory = memory;
         this.openedMs = gateway.clock().steadyMs();
         this.lastActivityMs = openedMs;
@@ -130,6 +138,7 @@
 
     private void onHead(HttpRequest request) {
         head = request;
+        limits = currentLimits.get();
         requestReceived = true;
         upload = new UploadProgress(lastActivityMs);
         keepAlive = HttpUtil.isKeepAlive(request);
@@ -393,6 +402,9 @@
      * @param nowMs current time, in milliseconds
      */
     void sweep(long nowMs) {
+        if (head == null && !requestInProgress) {
+            limits = currentLimits.get();
+        }
         if (closing) {
             boolean closed = lastSentMs == NOT_SENT
                     ? nowMs - closingSinceMs > limits.idleTimeoutMs()
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
@@ -30,15 +29,6 @@
      */
     private static final int ACCEPT_BACKLOG = 1_024;
 
-    /**
-     * Minimum limit of the request line, the usual one of HTTP servers; the configured header limit applies if it is
-     * larger.
-     */
-    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
-
-    /** Maximum size of a body chunk in one message, the default of Netty. */
-    private static final int MAX_CHUNK_BYTES = 8_192;
-
     /** Delay after which the selector has removed a deregistered channel; any delay leads past the next selection. */
     private static final long DEREGISTRATION_MS = 1;
 
@@ -52,14 +42,14 @@
     /**
      * Binds the listening socket. All connections belong to the event loop.
      *
-     * @param limits supplies the limits that apply to a new connection
+     * @param limits supplies the limits that apply to a new request
      * @param onOpen creates the handler of a new connection
      */
     static ClientListener open(
             EventLoop eventLoop,
             InetSocketAddress address,
             Supplier<ClientLimits> limits,
-            BiFunction<Channel, ClientLimits, ClientConnection> onOpen) {
+            BiFunction<Channel, Supplier<ClientLimits>, ClientConnection> onOpen) {
         return new ClientListener(new ServerBootstrap()
                 .group(eventLoop)
                 .channelFactory(QueueDrainingServerChannel::new)
@@ -70,8 +60,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ClientLimits currentLimits = limits.get();
-                        addHandlers(channel, currentLimits, onOpen.apply(channel, currentLimits));
+                        addHandlers(channel, limits, onOpen.apply(channel, limits));
                     }
                 })
                 .bind(address));
@@ -105,20 +94,29 @@
         return stopping && !bound.channel().isOpen();
     }
 
-    private static void addHandlers(Channel channel, ClientLimits limits, ClientConnection connection) {
+    private static void addHandlers(Channel channel, Supplier<ClientLimits> limits, ClientConnection connection) {
+        ClientResponseEncoder encoder = new ClientResponseEncoder();
+        ClientRequestDecoder first = new ClientRequestDecoder(limits.get().maxHeaderBytes(), encoder);
         channel.pipeline()
                 .addLast(
                         new ChannelInboundHandlerAdapter() {
+
+                            private ClientRequestDecoder decoder = first;
+
                             @Override
                             public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
                                 connection.onBytes();
+                                int maxHeaderBytes = limits.get().maxHeaderBytes();
+                                if (maxHeaderBytes != decoder.maxHeaderBytes() && decoder.betweenRequests()) {
+                                    ClientRequestDecoder next = new ClientRequestDecoder(maxHeaderBytes, encoder);
+                                    context.pipeline().replace(decoder, null, next);
+                                    decoder = next;
+                                }
                                 super.channelRead(context, message);
                             }
                         },
-                        new HttpServerCodec(
-                                Math.max(MAX_REQUEST_LINE_BYTES, limits.maxHeaderBytes()),
-                                limits.maxHeaderBytes(),
-                                MAX_CHUNK_BYTES),
+                        first,
+                        encoder,
                         connection);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
@@ -214,7 +215,7 @@
         eventLoop.execute(() -> shutdown.start(connections.size(), nowMs));
     }
 
-    private ClientConnection createConnection(Channel channel, ClientLimits limits) {
+    private ClientConnection createConnection(Channel channel, Supplier<ClientLimits> limits) {
         ClientConnection connection = new ClientConnection(this, channel, limits, memory);
         connections.add(connection, clock.steadyMs());
         return connection;
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ChangingDialect.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ChangingDialect.java
@@ -13,6 +13,10 @@
         super(objects);
     }
 
+    ChangingDialect(List<StoreObject<T>> objects, String listTarget) {
+        super(objects, listTarget);
+    }
+
     /** Makes the next watch of the gateway report changes. */
     void change(List<StoreChange<T>> next) {
         changes.addAll(next);
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ClientConnectionTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ClientConnectionTest.java
@@ -55,7 +55,7 @@
         ClientConnection connection = new ClientConnection(
                 gateway,
                 channel,
-                new ClientLimits(8_192, 10_000, 1_000, (int) IDLE_TIMEOUT_MS),
+                () -> new ClientLimits(8_192, 10_000, 1_000, (int) IDLE_TIMEOUT_MS),
                 HeldMemory.ofProcess(gateway.metrics(), gateway.log()));
         channel.pipeline().addLast(connection);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -89,7 +89,11 @@
     private @Nullable AutoCloseable exit;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
+    private int maxHeaderBytes = 8_192;
+    private long idleTimeoutMs = 5_000;
     private @Nullable ChangingDialect<UpstreamEntry> upstreamDialect;
+    private @Nullable ChangingDialect<GatewayConfiguration> configurationDialect;
+    private int configurationVersion = 3;
     private String lookupService = SERVICE;
     private OutputStream logOutput = OutputStream.nullOutputStream();
 
@@ -157,6 +161,16 @@
         maxBodyBytes = newMaxBodyBytes;
     }
 
+    /** Sets the size of the headers of a request up to which clients are served. */
+    void setMaxHeaderBytes(int newMaxHeaderBytes) {
+        maxHeaderBytes = newMaxHeaderBytes;
+    }
+
+    /** Sets the time for which a connection stays open without a request. */
+    void setIdleTimeoutMs(long newIdleTimeoutMs) {
+        idleTimeoutMs = newIdleTimeoutMs;
+    }
+
     void setHeaderTimeoutMs(long newHeaderTimeoutMs) {
         headerTimeoutMs = newHeaderTimeoutMs;
     }
@@ -259,9 +273,16 @@
         return gateway;
     }
 
-    Gateway create() throws Exception {
-        GatewayConfiguration configuration = new GatewayConfiguration(
-                3,
+    /** Publishes the configuration with the limits that have been set since the gateway was created. */
+    void publishLimits() {
+        configurationVersion++;
+        Objects.requireNonNull(configurationDialect, "no gateway has been created")
+                .change(List.of(new StoreChange<>(new StoreObject<>("main", Optional.of(configuration()), ""), false)));
+    }
+
+    private GatewayConfiguration configuration() {
+        return new GatewayConfiguration(
+                configurationVersion,
                 List.of(
                         route(RouteKind.IDEMPOTENT, 2),
                         route(RouteKind.NON_IDEMPOTENT, orderAttempts),
@@ -273,9 +294,12 @@
                                 name -> name,
                                 name -> new ServiceConfiguration(
                                         name, 10, engines && !name.equals(STEADY), 0, Optional.empty(), 120))),
-                new ClientLimits(8_192, maxBodyBytes, headerTimeoutMs, 5_000),
+                new ClientLimits(maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs),
                 KeyRequirement.ALWAYS,
                 Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
+    }
+
+    Gateway create() throws Exception {
         HttpServer store = startStore();
         List<StoreObject<UpstreamEntry>> upstreams = entries.stream()
                 .map(entry -> new StoreObject<>(entry.id(), Optional.of(entry), ""))
@@ -296,13 +320,11 @@
                 retrySlack);
         ChangingDialect<UpstreamEntry> changing = new ChangingDialect<>(upstreams);
         upstreamDialect = changing;
-        GatewayDialect dialect = new GatewayDialect(
-                NAMES,
-                new FakeDialect<>(
-                        List.of(new StoreObject<>("main", Optional.of(configuration), "")), configurationTarget),
-                changing,
-                new FakeRegistry(),
-                new FakeQuarantines());
+        ChangingDialect<GatewayConfiguration> configurations = new ChangingDialect<>(
+                List.of(new StoreObject<>("main", Optional.of(configuration()), "")), configurationTarget);
+        configurationDialect = configurations;
+        GatewayDialect dialect =
+                new GatewayDialect(NAMES, configurations, changing, new FakeRegistry(), new FakeQuarantines());
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         exit = () -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         resources.add(exit);
