--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -402,9 +402,7 @@
      * @param nowMs current time, in milliseconds
      */
     void sweep(long nowMs) {
-        if (head == null && !requestInProgress) {
-            limits = currentLimits.get();
-        }
+        refreshLimits();
         if (closing) {
             boolean closed = lastSentMs == NOT_SENT
                     ? nowMs - closingSinceMs > limits.idleTimeoutMs()
@@ -429,6 +427,12 @@
         }
     }
 
+    private void refreshLimits() {
+        if (head == null && !requestInProgress) {
+            limits = currentLimits.get();
+        }
+    }
+
     /**
      * Closes the connection if no request is in progress on it and none is expected soon.
      *
