Read stored quarantines again after a malformed listing

A gateway that started while the store sent a listing that can't be decoded took it for an empty one and lacked the stored quarantines until its next start. While the store refused listings, quarantines weren't saved either: the listing was repeated each second before all other calls.

A listing that fails or can't be decoded is now read again after 1 s, and after twice the time with each further failure, up to 8 s (RetrySchedule); writes are made meanwhile.

Of the five cases of QuarantineStoreTest, readsAMalformedListingAgain and savesAQuarantineWhileListingsFail failed before.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -134,6 +134,7 @@
         this.upstreamLimits = new UpstreamLimits(settings.name(), this::allUpstreams, peerChannel::send, log);
         this.quarantineStore = new QuarantineStore(
                 eventLoop,
+                clock,
                 dialect.quarantines(),
                 new SerialHttpConnection(eventLoop, settings.storeAddress()),
                 this::onStoredQuarantine,
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QuarantineStore.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/QuarantineStore.java
@@ -14,11 +14,12 @@
 /**
  * Keeps quarantined prompts in the store, so that they stay in force when all gateways restart.
  *
- * <p>They are read once, at the start of the gateway; later ones arrive by datagram from the other gateways.
+ * <p>They are read once, at the start of the gateway, and again only if that fails or the listing can't be decoded;
+ * later ones arrive by datagram from the other gateways. Quarantines are saved while the listing fails.
  */
 final class QuarantineStore {
 
-    /** Delay after a failed call; calls count against a rate limit that all processes share. */
+    /** Delay after a failed write; calls count against a rate limit that all processes share. */
     private static final long RETRY_DELAY_MS = 1_000;
 
     /** Timeout of a call; a slow store responds within a few hundred milliseconds. */
@@ -30,12 +31,14 @@
     private static final byte[] NO_BODY = new byte[0];
 
     private final EventLoop eventLoop;
+    private final Clock clock;
     private final QuarantineDialect dialect;
     private final SerialHttpConnection connection;
     private final Consumer<QuarantinedPrompt> onStored;
     private final DecisionLog log;
     private final Deque<Call> waiting = new ArrayDeque<>();
     private @Nullable Call current;
+    private RetrySchedule listingRetry = RetrySchedule.START;
     private boolean closed;
 
     private sealed interface Call {}
@@ -49,15 +52,18 @@
     /**
      * Creates a store client that has not read anything yet.
      *
+     * @param clock clocks of the VM
      * @param onStored receives each stored quarantine that was read
      */
     QuarantineStore(
             EventLoop eventLoop,
+            Clock clock,
             QuarantineDialect dialect,
             SerialHttpConnection connection,
             Consumer<QuarantinedPrompt> onStored,
             DecisionLog log) {
         this.eventLoop = eventLoop;
+        this.clock = clock;
         this.dialect = dialect;
         this.connection = connection;
         this.onStored = onStored;
@@ -119,8 +125,7 @@
             return;
         }
         String failure = switch (reply) {
-            case HttpReply.Response response when isDone(call, response) -> "";
-            case HttpReply.Response response -> "status " + response.status();
+            case HttpReply.Response response -> failureOf(call, response);
             case HttpReply.Lost lost -> lost.reason();
         };
         if (failure.isEmpty()) {
@@ -132,7 +137,21 @@
                 .field("call", call.getClass().getSimpleName())
                 .field("reason", failure)
                 .write();
-        eventLoop.schedule(() -> retry(call), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+        scheduleRetry(call, clock.steadyMs());
+    }
+
+    private void scheduleRetry(Call call, long nowMs) {
+        switch (call) {
+            case ListAll list -> {
+                // Writes go on, so that a listing that always fails doesn't keep quarantines from being saved.
+                listingRetry = listingRetry.afterFailure(nowMs);
+                eventLoop.schedule(() -> enqueue(list), listingRetry.delayMs(nowMs), TimeUnit.MILLISECONDS);
+                current = null;
+                callNext();
+            }
+            case Save save -> eventLoop.schedule(() -> retry(save), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+            case Delete delete -> eventLoop.schedule(() -> retry(delete), RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
+        }
     }
 
     private void retry(Call call) {
@@ -141,26 +160,27 @@
         callNext();
     }
 
-    /** Returns whether a call has its effect, also if another gateway had the same effect before. */
-    private boolean isDone(Call call, HttpReply.Response response) {
+    /** Returns why a call lacks its effect, or an empty text if it has it, also by another gateway's earlier call. */
+    private String failureOf(Call call, HttpReply.Response response) {
+        int status = response.status();
         return switch (call) {
-            case ListAll list -> response.ok() && read(response.body());
-            case Save save ->
-                response.ok() || response.status() == STATUS_CREATED || response.status() == STATUS_CONFLICT;
-            case Delete delete -> response.ok() || response.status() == STATUS_NOT_FOUND;
+            case ListAll list when response.ok() -> read(response.body());
+            case Save save when response.ok() || status == STATUS_CREATED || status == STATUS_CONFLICT -> "";
+            case Delete delete when response.ok() || status == STATUS_NOT_FOUND -> "";
+            case ListAll list -> "status " + status;
+            case Save save -> "status " + status;
+            case Delete delete -> "status " + status;
         };
     }
 
-    private boolean read(byte[] body) {
+    private String read(byte[] body) {
         try {
             dialect.readPage(body).objects().stream()
                     .flatMap(object -> object.value().stream())
                     .forEach(onStored);
+            return "";
         } catch (IOException malformed) {
-            log.event("malformed quarantine listing")
-                    .field("reason", String.valueOf(malformed))
-                    .write();
+            return "malformed listing: " + malformed;
         }
-        return true;
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeDialect.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/FakeDialect.java
@@ -1,5 +1,6 @@
 package org.kingcuproad.gateway;
 
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 
@@ -40,7 +41,7 @@
     }
 
     @Override
-    public StorePage<T> readPage(byte[] body) {
+    public StorePage<T> readPage(byte[] body) throws IOException {
         return new StorePage<>(objects, false, 1);
     }
 
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/QuarantineStoreTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/QuarantineStoreTest.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.kingcuproad.policy.quarantine.QuarantinedPrompt;
@@ -18,8 +20,10 @@
 class QuarantineStoreTest {
 
     private static final long WITHIN_S = 5;
+    private static final QuarantinedPrompt STORED = new QuarantinedPrompt("service", Set.of("stored"));
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final AtomicInteger listings = new AtomicInteger();
     private final AtomicInteger saves = new AtomicInteger();
     private final Semaphore listed = new Semaphore(0);
     private final Semaphore saved = new Semaphore(0);
@@ -38,15 +42,20 @@
         return RepeatingServer.response(saves.incrementAndGet() == 1 ? 503 : 201, "{}");
     }
 
+    private QuarantineStore store(RepeatingServer server, Consumer<QuarantinedPrompt> onStored) {
+        return new QuarantineStore(
+                loops.next(),
+                Clock.SYSTEM,
+                new FakeQuarantines(STORED),
+                new SerialHttpConnection(loops.next(), server.address()),
+                onStored,
+                new DecisionLog(new LineSink(OutputStream.nullOutputStream()), System::currentTimeMillis));
+    }
+
     @Test
     void savesAQuarantineAgainThatWasRefused() throws Exception {
         try (RepeatingServer server = new RepeatingServer(this::respond)) {
-            QuarantineStore store = new QuarantineStore(
-                    loops.next(),
-                    new FakeQuarantines(),
-                    new SerialHttpConnection(loops.next(), server.address()),
-                    prompt -> {},
-                    new DecisionLog(new LineSink(OutputStream.nullOutputStream()), System::currentTimeMillis));
+            QuarantineStore store = store(server, prompt -> {});
             loops.next().execute(store::start);
             assertThat(listed.tryAcquire(WITHIN_S, TimeUnit.SECONDS)).isTrue();
 
@@ -58,4 +67,59 @@
             loops.next().submit(store::close).sync();
         }
     }
+
+    /** Returns the responses of a store whose first listings are bad. */
+    private Function<String, String> listingsAfter(int badListings, String bad) {
+        return request -> request.startsWith("POST")
+                ? respond(request)
+                : listings.incrementAndGet() <= badListings ? bad : RepeatingServer.response(200, "{}");
+    }
+
+    private void assertReadsAgainAfter(String bad) throws Exception {
+        Semaphore stored = new Semaphore(0);
+        try (RepeatingServer server = new RepeatingServer(listingsAfter(1, bad))) {
+            QuarantineStore store = store(server, prompt -> stored.release());
+            loops.next().execute(store::start);
+
+            assertThat(stored.tryAcquire(WITHIN_S, TimeUnit.SECONDS))
+                    .as("quarantine read in %d listings", listings.get())
+                    .isTrue();
+            loops.next().submit(store::close).sync();
+        }
+    }
+
+    /** Guards against a gateway that lacks the stored quarantines until its next start. */
+    @Test
+    void readsAMalformedListingAgain() throws Exception {
+        assertReadsAgainAfter(RepeatingServer.response(200, FakeQuarantines.MALFORMED));
+    }
+
+    @Test
+    void readsAFailedListingAgain() throws Exception {
+        assertReadsAgainAfter(RepeatingServer.response(503, "{}"));
+    }
+
+    private void assertSavesBeside(String bad) throws Exception {
+        try (RepeatingServer server = new RepeatingServer(listingsAfter(Integer.MAX_VALUE, bad))) {
+            QuarantineStore store = store(server, prompt -> {});
+            loops.next().execute(store::start);
+            loops.next().execute(() -> store.save(STORED));
+
+            assertThat(saved.tryAcquire(2, WITHIN_S, TimeUnit.SECONDS))
+                    .as("%d calls to save it", saves.get())
+                    .isTrue();
+            loops.next().submit(store::close).sync();
+        }
+    }
+
+    @Test
+    void savesAQuarantineWhileListingsAreMalformed() throws Exception {
+        assertSavesBeside(RepeatingServer.response(200, FakeQuarantines.MALFORMED));
+    }
+
+    /** Guards against a listing that fails and holds up the quarantines that are to be saved. */
+    @Test
+    void savesAQuarantineWhileListingsFail() throws Exception {
+        assertSavesBeside(RepeatingServer.response(503, "{}"));
+    }
 }
