Answer uploads that still arrive when a stopping gateway's service ends

A client whose request was still arriving at the end of the grace period found its connection closed without an answer and couldn't tell whether the request had run. It is answered 503 "shutting-down" now, not run, with Retry-After and Connection: close, when the requests in progress are ended. Reading goes on if it was paused for lack of memory, since unread bytes would reset the connection and lose the response.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,6 +23,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
@@ -142,22 +142,12 @@
         requestReceived = true;
         upload = new UploadProgress(lastActivityMs);
         keepAlive = HttpUtil.isKeepAlive(request);
-        if (request.decoderResult().isFailure()) {
-            boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
-            reject(tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.BAD_REQUEST);
-            return;
-        }
-        boolean ambiguousLength = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (ambiguousLength || request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
-            reject(ErrorKind.BAD_REQUEST);
+        Optional<ErrorKind> defect = RequestHeadCheck.defect(request, limits);
+        if (defect.isPresent()) {
+            reject(defect.get());
             return;
         }
         declaredBodyBytes = HttpUtil.getContentLength(request, 0L);
-        if (declaredBodyBytes > limits.maxBodyBytes()) {
-            reject(ErrorKind.BODY_TOO_LARGE);
-            return;
-        }
         awaitingMemorySinceMs = lastActivityMs;
         admitBody(request, memory.bodiesWait(), lastActivityMs);
         if (awaitingMemory) {
@@ -427,6 +417,21 @@
         }
     }
 
+    /** Answers a request that has not arrived completely, because the gateway stops; it has not run. */
+    void endUpload() {
+        boolean arriving = head != null || receivingSinceMs >= 0;
+        if (arriving && !requestInProgress && !closing) {
+            awaitingMemory = false;
+            // Unread bytes would reset the connection when it is closed, and the response would be lost.
+            channel.config().setAutoRead(true);
+            endRequest();
+            sendProblem(
+                    ErrorKind.SHUTTING_DOWN,
+                    "the gateway stops before the request has arrived",
+                    RetryAfter.OTHER_GATEWAY_MS);
+        }
+    }
+
     private void refreshLimits() {
         if (head == null && !requestInProgress) {
             limits = currentLimits.get();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -487,6 +487,7 @@
 
     private void endRequests() {
         dispatchers.values().forEach(ServiceDispatcher::endAll);
+        connections.list().forEach(ClientConnection::endUpload);
     }
 
     private void close() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GracefulShutdown.java
@@ -61,7 +61,7 @@
      *
      * @param listener the listening socket, {@code null} if the gateway has not been started
      * @param connections open client connections
-     * @param endRequests ends all requests that are still in progress
+     * @param endRequests ends all requests that are still in progress or arriving
      * @param onEnd called before {@link #stopped} completes
      */
     void sweep(
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -354,6 +354,45 @@
         }
     }
 
+    private RawResponse responseToAPart(String part) throws Exception {
+        fixture.setDrainGraceMs(1_500);
+        fixture.setHeaderTimeoutMs(5_000);
+        AtomicInteger requests = new AtomicInteger();
+        fixture.upstream(request -> {
+            requests.incrementAndGet();
+            return GatewayFixture.ok(request, "stock");
+        });
+        Gateway gateway = fixture.start();
+        try (Socket socket = fixture.open()) {
+            socket.getOutputStream().write(part.getBytes(StandardCharsets.UTF_8));
+            sleep(200);
+            gateway.drain();
+            RawResponse response = RawResponse.read(socket.getInputStream());
+            assertThat(requests.get()).as("requests that ran").isZero();
+            return response;
+        }
+    }
+
+    /** Guards against closing a connection unread whose request is still arriving when the service ends. */
+    @Test
+    void answersAnUploadThatIsStillArrivingWhenTheServiceEnds() throws Exception {
+        String request = GatewayFixture.keptAlivePostRequest("/NON_IDEMPOTENT/a", "r1");
+        RawResponse response = responseToAPart(request.substring(0, request.length() - 3));
+
+        assertThat(response.status()).isEqualTo(SERVICE_UNAVAILABLE);
+        assertThat(response.body()).contains("\"execution\":\"not-run\"");
+        assertThat(response.header("Connection")).contains("close");
+        assertThat(response.header("Retry-After")).isPresent();
+    }
+
+    @Test
+    void answersHeadersThatAreStillArrivingWhenTheServiceEnds() throws Exception {
+        RawResponse response = responseToAPart("GET /IDEMPOTENT/a HTTP/1.1\r\nHost: office.exa");
+
+        assertThat(response.status()).isEqualTo(SERVICE_UNAVAILABLE);
+        assertThat(response.body()).contains("\"execution\":\"not-run\"");
+    }
+
     /** Guards against resetting clients that wait in the accept queue when the listening socket is closed. */
     @Test
     void acceptsTheClientsInTheQueueBeforeTheSocketIsClosed() throws Exception {
