--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/AdminOptions.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/AdminOptions.java
@@ -20,7 +20,7 @@
     @Parameter(names = "--credential", description = "Operator's credential; default: " + CREDENTIAL_VARIABLE)
     private String credential = "";
 
-    @Parameter(names = "--timeout-seconds", description = "Longest time to settle a call")
+    @Parameter(names = "--timeout-seconds", description = "Longest time to settle a call, in seconds")
     private int timeoutSeconds = 30;
 
     @Parameter(names = "--json", description = "Write the result as JSON")
--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/EmulateEngineCommand.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/EmulateEngineCommand.java
@@ -18,10 +18,10 @@
     @Parameter(names = "--port", required = true, description = "TCP port, or 0 for any free one")
     private int port;
 
-    @Parameter(names = "--first-token-ms", description = "Time to the first token")
+    @Parameter(names = "--first-token-ms", description = "Time to the first token, in milliseconds")
     private int firstTokenMs = 20;
 
-    @Parameter(names = "--token-ms", description = "Time between tokens")
+    @Parameter(names = "--token-ms", description = "Time between tokens, in milliseconds")
     private int tokenMs = 10;
 
     @Parameter(names = "--max-concurrent", description = "Requests that run at the same time")
--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/EmulateServiceCommand.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/EmulateServiceCommand.java
@@ -18,7 +18,7 @@
     @Parameter(names = "--port", required = true, description = "TCP port, or 0 for any free one")
     private int port;
 
-    @Parameter(names = "--processing-ms", description = "Time that a request takes")
+    @Parameter(names = "--processing-ms", description = "Time that a request takes, in milliseconds")
     private int processingMs = 5;
 
     @Override
--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/KingcuproadctlMain.java
@@ -59,7 +59,7 @@
         }
     }
 
-    private static List<Command> commands() {
+    static List<Command> commands() {
         return List.of(
                 new EmulateEngineCommand(),
                 new EmulatePlatformCommand(),
--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/LoadCommand.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/LoadCommand.java
@@ -35,10 +35,10 @@
     @Parameter(names = "--concurrency", description = "Requests in flight, each followed by the next one")
     private int concurrency;
 
-    @Parameter(names = "--duration-seconds", description = "Length of the measured interval")
+    @Parameter(names = "--duration-seconds", description = "Length of the measured interval, in seconds")
     private int durationSeconds = 10;
 
-    @Parameter(names = "--warm-up-seconds", description = "Time under load before the measured interval")
+    @Parameter(names = "--warm-up-seconds", description = "Time under load before the measured interval, in seconds")
     private int warmUpSeconds = 2;
 
     @Parameter(names = "--tokens", description = "Tokens of each completion")
