--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -24,6 +23,8 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.BodyAdmission;
@@ -60,7 +61,8 @@
 
     private final Gateway gateway;
     private final Channel channel;
-    private final ClientLimits limits;
+    private final Supplier<ClientLimits> currentLimits;
+    private ClientLimits limits;
     private final HeldMemory memory;
     private final Deque<Object> pipelined = new ArrayDeque<>();
     private @Nullable HttpRequest head;
@@ -81,10 +83,16 @@
     private boolean requestReceived;
     private UploadProgress upload;
 
-    ClientConnection(Gateway gateway, Channel channel, ClientLimits limits, HeldMemory memory) {
+    /**
+     * Creates the handler of a connection that has just been opened.
+     *
+     * @param currentLimits supplies the limits in force, which apply to each request from its headers on
+     */
+    ClientConnection(Gateway gateway, Channel channel, Supplier<ClientLimits> currentLimits, HeldMemory memory) {
         this.gateway = gateway;
         this.channel = channel;
-        this.limits = limits;
+        this.currentLimits = currentLimits;
+        this.limits = currentLimits.get();
         this.memory = memory;
         this.openedMs = gateway.clock().steadyMs();
         this.lastActivityMs = openedMs;
@@ -130,25 +138,16 @@
 
     private void onHead(HttpRequest request) {
         head = request;
+        limits = currentLimits.get();
         requestReceived = true;
         upload = new UploadProgress(lastActivityMs);
         keepAlive = HttpUtil.isKeepAlive(request);
-        if (request.decoderResult().isFailure()) {
-            boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
-            reject(tooLong ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.BAD_REQUEST);
-            return;
-        }
-        boolean ambiguousLength = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-                && request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        if (ambiguousLength || request.headers().getAll(HttpHeaderNames.HOST).size() > 1) {
-            reject(ErrorKind.BAD_REQUEST);
+        Optional<ErrorKind> defect = RequestHeadCheck.defect(request, limits);
+        if (defect.isPresent()) {
+            reject(defect.get());
             return;
         }
         declaredBodyBytes = HttpUtil.getContentLength(request, 0L);
-        if (declaredBodyBytes > limits.maxBodyBytes()) {
-            reject(ErrorKind.BODY_TOO_LARGE);
-            return;
-        }
         awaitingMemorySinceMs = lastActivityMs;
         admitBody(request, memory.bodiesWait(), lastActivityMs);
         if (awaitingMemory) {
@@ -393,6 +392,7 @@
      * @param nowMs current time, in milliseconds
      */
     void sweep(long nowMs) {
+        refreshLimits();
         if (closing) {
             boolean closed = lastSentMs == NOT_SENT
                     ? nowMs - closingSinceMs > limits.idleTimeoutMs()
@@ -417,6 +417,27 @@
         }
     }
 
+    /** Answers a request that has not arrived completely, because the gateway stops; it has not run. */
+    void endUpload() {
+        boolean arriving = head != null || receivingSinceMs >= 0;
+        if (arriving && !requestInProgress && !closing) {
+            awaitingMemory = false;
+            // Unread bytes would reset the connection when it is closed, and the response would be lost.
+            channel.config().setAutoRead(true);
+            endRequest();
+            sendProblem(
+                    ErrorKind.SHUTTING_DOWN,
+                    "the gateway stops before the request has arrived",
+                    RetryAfter.OTHER_GATEWAY_MS);
+        }
+    }
+
+    private void refreshLimits() {
+        if (head == null && !requestInProgress) {
+            limits = currentLimits.get();
+        }
+    }
+
     /**
      * Closes the connection if no request is in progress on it and none is expected soon.
      *
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.ClientLimits;
@@ -135,6 +136,7 @@
         this.upstreamLimits = new UpstreamLimits(settings.name(), this::allUpstreams, peerChannel::send, log);
         this.quarantineStore = new QuarantineStore(
                 eventLoop,
+                clock,
                 dialect.quarantines(),
                 new SerialHttpConnection(eventLoop, settings.storeAddress()),
                 this::onStoredQuarantine,
@@ -216,7 +218,7 @@
         eventLoop.execute(() -> shutdown.start(connections.size(), nowMs));
     }
 
-    private ClientConnection createConnection(Channel channel, ClientLimits limits) {
+    private ClientConnection createConnection(Channel channel, Supplier<ClientLimits> limits) {
         ClientConnection connection = new ClientConnection(this, channel, limits, memory);
         connections.add(connection, clock.steadyMs());
         return connection;
@@ -487,6 +489,7 @@
 
     private void endRequests() {
         dispatchers.values().forEach(ServiceDispatcher::endAll);
+        connections.list().forEach(ClientConnection::endUpload);
     }
 
     private void close() {
