Complete no stream whose events go back

A stream whose upstream sent events 1, 3, 2 and 4 reached the caller as 1, 3 and 4 with a proper end: events with an id that the caller already has are passed over, also within one response, and the rest counted as whole.

Ids of a stream increase, so a lower one within a response shows that the response can't be trusted from there on. It ends the attempt; the stream is resumed at another upstream or broken off. Equal ids and a stream that starts again after a resumption are passed over as before.

A gap between two ids can't be told from a stream that counts in steps.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -256,6 +256,9 @@
         if (parser.hasForeignLine()) {
             closeConnection();
             onFailure("bytes that are no event in a stream without framing");
+        } else if (parser.outOfOrder()) {
+            closeConnection();
+            onFailure("events whose ids don't increase");
         } else if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
             closeConnection();
             onFailure(parser.hasPartialEvent() ? "event without end" : "bytes without an event");
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EventStreamParser.java
@@ -32,6 +32,8 @@
     private int lineStart;
     private boolean lineSeen;
     private boolean foreign;
+    private boolean outOfOrder;
+    private long lastId = StreamEvent.NO_ID;
     private boolean onlyComments = true;
     private boolean idSeen;
     private long id = StreamEvent.NO_ID;
@@ -55,7 +57,8 @@
      * Appends the next bytes of the stream.
      *
      * @param bytes the bytes
-     * @return the events that are complete now, in stream order; none from the one with the first foreign line on
+     * @return the events that are complete now, in stream order; none from the one on that has the first foreign line
+     *     or a lower id than an event before
      */
     public List<StreamEvent> feed(byte[] bytes) {
         if (length + bytes.length > pending.length) {
@@ -65,9 +68,11 @@
         length += bytes.length;
         List<StreamEvent> events = new ArrayList<>(1);
         int start = 0;
-        for (; scanned < length && !foreign; scanned++) {
+        for (; scanned < length && !foreign && !outOfOrder; scanned++) {
             if (pending[scanned] == '\n') {
-                if (endsEvent(scanned)) {
+                boolean ends = endsEvent(scanned);
+                outOfOrder = ends && id != StreamEvent.NO_ID && id < lastId;
+                if (ends && !outOfOrder) {
                     events.add(new StreamEvent(id, Arrays.copyOfRange(pending, start, scanned + 1), onlyComments));
                     start = scanned + 1;
                     resetEvent();
@@ -103,6 +108,16 @@
         return foreign;
     }
 
+    /**
+     * Returns whether the id of an event was lower than that of an event before it, so that the stream doesn't show
+     * what is missing in it.
+     *
+     * @return {@code true} if the stream must be given up
+     */
+    public boolean outOfOrder() {
+        return outOfOrder;
+    }
+
     /**
      * Returns the blank lines after the last event, which end a stream that has no partial event.
      *
@@ -160,6 +175,7 @@
     }
 
     private void resetEvent() {
+        lastId = Math.max(lastId, id);
         lineSeen = false;
         onlyComments = true;
         idSeen = false;
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EventStreamParserTest.java
@@ -142,6 +142,19 @@
         assertThat(parser.hasForeignLine()).isTrue();
     }
 
+    /** Guards against a stream that is completed although one of its events was passed over. */
+    @Test
+    void returnsNoEventFromTheFirstOneWithALowerIdOn() {
+        EventStreamParser parser = new EventStreamParser();
+
+        assertThat(parser.feed(bytes("id: 1\n\nid: 3\n\nid: 3\n\ndata: none\n\n")))
+                .extracting(StreamEvent::id)
+                .containsExactly(1L, 3L, 3L, StreamEvent.NO_ID);
+        assertThat(parser.outOfOrder()).isFalse();
+        assertThat(parser.feed(bytes("id: 2\n\nid: 4\n\n"))).isEmpty();
+        assertThat(parser.outOfOrder()).isTrue();
+    }
+
     @Test
     void takesAnyLineOfAFramedStreamForItsOwn() {
         EventStreamParser parser = new EventStreamParser(ResponseFraming.CHUNKS);
