Cancel orders that were never sent

An order whose deadline passed or whose client left while its connection was being opened was detached as if its upstream were running it. It held a place of the upstream until 250 ms after the deadline, and once the connection was open its released body was to be written, an IllegalReferenceCountException that a run of TwoAnswersTest showed once.

Only an order that was written is left to its upstream; any other one is cancelled.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -417,7 +417,7 @@
         Attempt attempt = exchange.attempt();
         if (attempt != null) {
             activeAttempts.remove(attempt);
-            if (exchange.route().kind() == RouteKind.NON_IDEMPOTENT) {
+            if (exchange.route().kind() == RouteKind.NON_IDEMPOTENT && attempt.written()) {
                 attempt.detach();
                 detachedAttempts.add(attempt);
             } else {
