Take no 204 or 205 that states a body for an answer

A caller got a success with an empty body when the upstream had sent a 204 or 205 with a body: the decoder reads none after these statuses, and the bytes were dropped with the connection. Such a head is improper now.

HeadVerdictTest asserted that a 204 with a length of 4 is an answer without a body; it asserts that of a 204 without a length and of a 304 now, and that the other one is improper.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -48,6 +48,9 @@
     /** Statuses of responses without a body: 204 and 304. */
     Set<Integer> STATUSES_WITHOUT_BODY = Set.of(204, 304);
 
+    /** Statuses whose responses may not even state a body: 204 and 205. */
+    Set<Integer> STATUSES_OF_EMPTY_RESPONSES = Set.of(204, 205);
+
     /**
      * Decides about a head.
      *
@@ -80,12 +83,21 @@
         if (!hasKnownFraming(head)) {
             return new Improper("framing that the protocol doesn't have");
         }
+        if (STATUSES_OF_EMPTY_RESPONSES.contains(head.status()) && statesBody(head)) {
+            // The decoder reads no body after these statuses, so its bytes would be missing in a success.
+            return new Improper("body of a response that has none");
+        }
         if (!head.contentCodings().isEmpty()) {
             return new Improper("encoded body");
         }
         return new Answer(framing(head, bodiless));
     }
 
+    private static boolean statesBody(ResponseHead head) {
+        return !head.transferCodings().isEmpty()
+                || head.lengths().stream().anyMatch(length -> !length.strip().equals("0"));
+    }
+
     private static HeadVerdict ofIds(ResponseHead head, ExpectedResponse request, Answer answer) {
         if (head.requestIds().size() > 1 || head.seals().size() > 1) {
             return new Improper("more than one request id or seal");
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/HeadVerdictTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/HeadVerdictTest.java
@@ -27,11 +27,19 @@
         return new ResponseHead(200, OWN, SEAL, transferCodings, lengths, codings);
     }
 
+    private static ResponseHead unframed(int status, List<String> lengths) {
+        return new ResponseHead(status, OWN, SEAL, NONE, lengths, NONE);
+    }
+
     static Stream<Arguments> heads() {
         return Stream.of(
                 Arguments.of("own success", head(200, OWN, SEAL), FIRST, "Answer"),
                 Arguments.of("own success without seal", head(200, OWN, NONE), FIRST, "Improper"),
                 Arguments.of("own success with blank seal", head(204, OWN, List.of(" ")), FIRST, "Improper"),
+                Arguments.of("body of a success without content", head(204, OWN, SEAL), FIRST, "Improper"),
+                Arguments.of("body of a reset of content", head(205, OWN, SEAL), FIRST, "Improper"),
+                Arguments.of("no content", unframed(204, NONE), FIRST, "Answer"),
+                Arguments.of("no content with its length", unframed(204, List.of("0")), FIRST, "Answer"),
                 Arguments.of("two seals", head(500, OWN, List.of("s", "s")), FIRST, "Improper"),
                 Arguments.of("two ids", head(200, List.of("r2", "r2"), SEAL), FIRST, "Improper"),
                 Arguments.of("failure without seal", head(500, OWN, NONE), FIRST, "Answer"),
@@ -78,7 +86,8 @@
         assertThat(HeadVerdict.of(framed(NONE, NONE, NONE), FIRST)).isEqualTo(answer(ResponseFraming.CONNECTION));
         assertThat(HeadVerdict.of(framed(NONE, List.of("4"), NONE), bodiless))
                 .isEqualTo(answer(ResponseFraming.NO_BODY));
-        assertThat(HeadVerdict.of(head(204, OWN, SEAL), FIRST)).isEqualTo(answer(ResponseFraming.NO_BODY));
+        assertThat(HeadVerdict.of(unframed(204, NONE), FIRST)).isEqualTo(answer(ResponseFraming.NO_BODY));
+        assertThat(HeadVerdict.of(head(304, OWN, SEAL), FIRST)).isEqualTo(answer(ResponseFraming.NO_BODY));
     }
 
     static Stream<Arguments> callHeads() {
