Give the detection of suspensions a class of its own

The comparison of the clocks is a decision of its own with both times as arguments; what it does is the same.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -61,9 +61,6 @@
     /** Maximum configuration age for denying a request (4xx); an older one may lack a route or key that exists. */
     private static final long MAX_DENIAL_AGE_MS = 2_500;
 
-    /** Clock difference that indicates a suspension of the VM, during which only the wall clock advances. */
-    private static final long SUSPENSION_THRESHOLD_MS = 700;
-
     /**
      * Number of gateways among which the slack of the retry budget is divided. It exceeds the number that the users
      * run, because a gateway does not know for certain how many there are.
@@ -90,7 +87,7 @@
     private final HeldMemory memory;
     private @Nullable ClientListener listener;
     private long lastSweepSteadyMs;
-    private long lastSweepWallMs;
+    private final SuspensionDetector suspensions = new SuspensionDetector();
     private final GracefulShutdown shutdown;
     private boolean lastReady;
 
@@ -179,7 +176,7 @@
     public void start() {
         eventLoop.execute(() -> {
             lastSweepSteadyMs = clock.steadyMs();
-            lastSweepWallMs = clock.wallMs();
+            suspensions.suspended(lastSweepSteadyMs, clock.wallMs());
             ClientListener opened =
                     ClientListener.open(eventLoop, settings.clientAddress(), storeView::limits, this::createConnection);
             listener = opened;
@@ -460,16 +457,14 @@
 
     private void sweep() {
         long nowMs = clock.steadyMs();
-        long wallMs = clock.wallMs();
-        if (wallMs - lastSweepWallMs - (nowMs - lastSweepSteadyMs) > SUSPENSION_THRESHOLD_MS) {
+        if (suspensions.suspended(nowMs, clock.wallMs())) {
             log.event("clock jumped or VM was suspended")
-                    .field("differenceMs", wallMs - lastSweepWallMs - (nowMs - lastSweepSteadyMs))
+                    .field("differenceMs", suspensions.differenceMs())
                     .write();
             dispatchers.values().forEach(ServiceDispatcher::closeIdleConnections);
         }
         eventLoopMonitor.onTask(nowMs - lastSweepSteadyMs - SWEEP_INTERVAL_MS);
         lastSweepSteadyMs = nowMs;
-        lastSweepWallMs = wallMs;
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
         upstreamLimits.report(nowMs);
