Keep the method of a request whose interim response is sent

After a 100 response, the final response to the same request was encoded by the method of the next request. If a pipelined HEAD request followed, a POST with Expect: 100-continue was answered with a Content-Length and without its body, so that the bytes of the next response stood in its place.

Cause: ClientResponseEncoder took the next method for each response, interim ones included.

ClientCodecTest failed before, 1 of 1 (the response ended after its head), and passes.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientResponseEncoder.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientResponseEncoder.java
@@ -25,6 +25,10 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpResponse response) {
+        if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            // The final response to the same request is still to come.
+            return super.isContentAlwaysEmpty(response);
+        }
         method = methods.poll();
         return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(response);
     }
