Look for a second response with one pass over the body

A body without framing that holds many status lines held up the event loop: the rest of the body was copied and read again after each of them.

The lines are now read once.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/TrailingResponse.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/TrailingResponse.java
@@ -1,7 +1,6 @@
 package org.kingcuproad.policy.gateway;
 
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
@@ -11,7 +10,8 @@
  */
 final class TrailingResponse {
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\r?\n");
+    /** The end of a line; nothing may separate a status line from the body before it. */
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}(?: [^\r\n]*)?\\z");
 
     private TrailingResponse() {}
 
@@ -23,20 +23,15 @@
      * @return {@code true} if a status line is followed by header lines, one of which has that name
      */
     static boolean isIn(byte[] body, String requestIdHeader) {
+        boolean inHead = false;
         String text = new String(body, StandardCharsets.ISO_8859_1);
-        Matcher statusLine = STATUS_LINE.matcher(text);
-        while (statusLine.find()) {
-            if (namesRequest(text, statusLine.end(), requestIdHeader)) {
+        for (String line : (Iterable<String>) text.lines()::iterator) {
+            int nameEnd = line.indexOf(':');
+            if (inHead && nameEnd > 0 && line.substring(0, nameEnd).equalsIgnoreCase(requestIdHeader)) {
                 return true;
             }
+            inHead = (inHead && nameEnd > 0) || STATUS_LINE.matcher(line).find();
         }
         return false;
     }
-
-    private static boolean namesRequest(String text, int begin, String requestIdHeader) {
-        return text.substring(begin)
-                .lines()
-                .takeWhile(line -> line.indexOf(':') > 0)
-                .anyMatch(line -> line.substring(0, line.indexOf(':')).equalsIgnoreCase(requestIdHeader));
-    }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/BodyEndTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/BodyEndTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -64,4 +65,11 @@
                 .isEqualTo(BodyEnd.UNKNOWN);
         assertThat(end("GET / HTTP/1.1\r\nX-Request: r1\r\n\r\n", "text/plain")).isEqualTo(BodyEnd.UNKNOWN);
     }
+
+    /** Guards against reading the rest of the body again after each status line. */
+    @Test
+    @Timeout(2)
+    void judgesABodyOfManyStatusLinesInATimeThatGrowsWithItsSize() {
+        assertThat(end("HTTP/1.1 200 a: b\n".repeat(14_000), "text/plain")).isEqualTo(BodyEnd.UNKNOWN);
+    }
 }
