--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/HeadVerdict.java
@@ -84,7 +84,7 @@
             return new Improper("framing that the protocol doesn't have");
         }
         if (STATUSES_OF_EMPTY_RESPONSES.contains(head.status()) && statesBody(head)) {
-            // The decoder reads no body after these statuses, so its bytes would be missing in a success.
+            // The decoder reads no body after 204, and the encoder writes none after 205; a success would lack it.
             return new Improper("body of a response that has none");
         }
         if (!head.contentCodings().isEmpty()) {
