Give the handler of a connection its limits once

The supplier of the limits was handed through ClientListener to the gateway that had supplied it; the gateway now uses its own.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ClientListener.java
@@ -10,7 +10,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiFunction;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.kingcuproad.policy.gateway.ClientLimits;
 
@@ -42,14 +42,14 @@
     /**
      * Binds the listening socket. All connections belong to the event loop.
      *
-     * @param limits supplies the limits that apply to a new request
+     * @param limits supplies the limits that apply to the headers of a new request
      * @param onOpen creates the handler of a new connection
      */
     static ClientListener open(
             EventLoop eventLoop,
             InetSocketAddress address,
             Supplier<ClientLimits> limits,
-            BiFunction<Channel, Supplier<ClientLimits>, ClientConnection> onOpen) {
+            Function<Channel, ClientConnection> onOpen) {
         return new ClientListener(new ServerBootstrap()
                 .group(eventLoop)
                 .channelFactory(QueueDrainingServerChannel::new)
@@ -60,7 +60,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        addHandlers(channel, limits, onOpen.apply(channel, limits));
+                        addHandlers(channel, limits, onOpen.apply(channel));
                     }
                 })
                 .bind(address));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -16,10 +16,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
-import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -218,8 +216,8 @@
         eventLoop.execute(() -> shutdown.start(connections.size(), nowMs));
     }
 
-    private ClientConnection createConnection(Channel channel, Supplier<ClientLimits> limits) {
-        ClientConnection connection = new ClientConnection(this, channel, limits, memory);
+    private ClientConnection createConnection(Channel channel) {
+        ClientConnection connection = new ClientConnection(this, channel, storeView::limits, memory);
         connections.add(connection, clock.steadyMs());
         return connection;
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayShutdownTest.java
@@ -400,8 +400,8 @@
         try {
             AtomicInteger accepted = new AtomicInteger();
             EventLoop loop = loops.next();
-            ClientListener listener = loop.submit(() -> ClientListener.open(
-                            loop, fixture.address(), () -> ClientLimits.DEFAULTS, (channel, limits) -> {
+            ClientListener listener = loop.submit(
+                            () -> ClientListener.open(loop, fixture.address(), () -> ClientLimits.DEFAULTS, channel -> {
                                 accepted.incrementAndGet();
                                 throw new IllegalStateException("the test needs no handler");
                             }))
@@ -438,8 +438,8 @@
         try {
             AtomicInteger accepted = new AtomicInteger();
             EventLoop loop = loops.next();
-            ClientListener listener = loop.submit(() -> ClientListener.open(
-                            loop, fixture.address(), () -> ClientLimits.DEFAULTS, (channel, limits) -> {
+            ClientListener listener = loop.submit(() ->
+                            ClientListener.open(loop, fixture.address(), () -> ClientLimits.DEFAULTS, channel -> {
                                 if (accepted.incrementAndGet() < QUEUED_CLIENTS) {
                                     sockets.add(openUnchecked());
                                 }
