Give the test of an announced limit a longer latency goal

keepsToTheLimitOfOneUpstreamWhileOthersServe failed beside other load, since the limited upstream got one request or none, where it must get two or more.

The fixture's latency goal is 100 ms. The first lookup of a new JVM can take longer: it counts as stalled at the limited upstream and goes to the other one. The log shows it: r0 ends as Stalled at u0 after 102 to 181 ms, and all others go to u1. The upstream isn't ejected and no limit is known yet. One failure makes its failure rate 0.15, which costs an engine as much as 1.2 requests in progress, and only its own responses lower the rate. The test sends one request at a time, so the other upstream always costs less. If the attempt is cancelled before its request is read, the limited upstream has got nothing.

Callers aren't harmed: each of the lookups is answered with 200, and the upstream is used again once the others have two requests in progress, as read from LeastCostSelector. The test concerns the announced limit, not stalled lookups, so its goal is longer than the timeout now, as in UnconfirmedEndTest. Its checks and bounds stay as they are.

--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/AnnouncedLimitGatewayTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/AnnouncedLimitGatewayTest.java
@@ -23,6 +23,8 @@
 
     AnnouncedLimitGatewayTest() throws IOException {
         fixture = new GatewayFixture();
+        // A lookup that a slow machine delays would otherwise count as a failure of the limited upstream.
+        fixture.setLatencyGoalMs(10_000);
     }
 
     @AfterEach
