--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -258,7 +258,7 @@
             onFailure("bytes that are no event in a stream without framing");
         } else if (parser.outOfOrder()) {
             closeConnection();
-            onFailure("events whose ids don't increase");
+            onFailure("events whose ids go back");
         } else if (parser.exceedsMaxSize() || bytesWithoutProgress > EventStreamParser.MAX_EVENT_BYTES) {
             closeConnection();
             onFailure(parser.hasPartialEvent() ? "event without end" : "bytes without an event");
