Refuse connections as soon as an HTTP server is closed

Cause: the close future of a Netty listener completes before its selector has closed the socket, so a client could still connect after close() returned. Change: close() waits for the selection after the close. The test runs ten times.

--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -17,6 +16,7 @@
 import io.netty.handler.codec.http2.Http2StreamFrameToHttpObjectCodec;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
@@ -26,6 +26,11 @@
 
     private static final int MAX_CONCURRENT_STREAMS = 1_000;
 
+    /** Delay after which the selector has removed a closed channel; any delay leads past the next selection. */
+    private static final long DEREGISTRATION_MS = 1;
+
+    private static final long MAX_CLOSE_MS = 1_000;
+
     private final HttpServerSettings settings;
     private final HttpHandler handler;
     private final ServerConnections connections = new ServerConnections();
@@ -85,13 +90,23 @@
      * this returns, new connections are refused; only a call on the server's own event loop returns earlier.
      */
     public void close() {
-        ChannelFuture closed = listener.close();
+        CompletableFuture<Void> refusing = stopListening();
         if (!listener.eventLoop().inEventLoop()) {
-            closed.awaitUninterruptibly();
+            // An event loop that shuts down runs no scheduled tasks; it closes its sockets itself.
+            refusing.completeOnTimeout(null, MAX_CLOSE_MS, TimeUnit.MILLISECONDS).join();
         }
         connections.closeAll();
     }
 
+    /** Completes when the listening socket is closed, which a selector does only with the selection after the close. */
+    private CompletableFuture<Void> stopListening() {
+        CompletableFuture<Void> refusing = new CompletableFuture<>();
+        listener.close()
+                .addListener(closed -> listener.eventLoop()
+                        .schedule(() -> refusing.complete(null), DEREGISTRATION_MS, TimeUnit.MILLISECONDS));
+        return refusing;
+    }
+
     private Channel bind(EventLoopGroup eventLoops) throws KingcuproadException {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(eventLoops)
--- a/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/http/HttpServerTest.java
+++ b/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/http/HttpServerTest.java
@@ -13,6 +13,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -46,7 +47,7 @@
     }
 
     /** A caller that still gets a connection after the close cannot tell that its request was not read. */
-    @Test
+    @RepeatedTest(10)
     void refusesConnectionsOnceItIsClosed() throws Exception {
         NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
         HttpServer server = HttpServer.start(
