--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
@@ -93,7 +93,8 @@
         CompletableFuture<Void> refusing = stopListening();
         if (!listener.eventLoop().inEventLoop()) {
             // An event loop that shuts down runs no scheduled tasks; it closes its sockets itself.
-            refusing.completeOnTimeout(null, MAX_CLOSE_MS, TimeUnit.MILLISECONDS).join();
+            refusing.completeOnTimeout(null, MAX_CLOSE_MS, TimeUnit.MILLISECONDS)
+                    .join();
         }
         connections.closeAll();
     }
--- a/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/http/HttpServerTest.java
+++ b/kingcuproad-runtime/src/test/java/org/kingcuproad/runtime/http/HttpServerTest.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.RepeatedTest;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
