Send nothing to evacuated data centres

Operators could not take the upstreams of a data centre out of use at once. An entry evacuations/DATACENTRE in the store now does so: each gateway watches the kind if its settings contain bounds.evac_ms, and the reason EVACUATED makes selection, retries, resumed streams and the check before a request is written pass over these upstreams. Requests in progress end where they are. Until the first listing nothing is sent. The name of an entry alone counts. After an evacuation the usable slots of each upstream grow from one to all within three seconds.

The watches of the store move from Gateway to StoreWatchers.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -485,6 +485,6 @@
         if (!responseStarted) {
             upstream.onPrefillEnded(exchange.promptTokens());
         }
-        dispatcher.onSlotReleased();
+        dispatcher.onSlotReleased(upstream);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
@@ -34,7 +34,7 @@
     /** Records that the connection of a request in progress ended without an action of this gateway. */
     void onDisconnected(Upstream upstream, Exchange exchange) {
         // An upstream that is leaving ends as planned, even if it cuts requests.
-        if (upstream.usable()) {
+        if (upstream.inService()) {
             detector.onDisconnected(upstream, exchange.promptParts());
         }
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -18,7 +18,7 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
-import org.kingcuproad.policy.gateway.GatewayConfiguration;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
@@ -47,15 +47,6 @@
     /** Interval at which subscriptions are renewed; agents drop one that is not renewed within three intervals. */
     private static final long RENEWAL_MS = 1_000;
 
-    /**
-     * Maximum duration of one watch for configuration changes. The last confirmation that the configuration is current
-     * is up to twice as old; readiness and denials need one that is at most some seconds old.
-     */
-    private static final long CONFIGURATION_WATCH_MS = 1_000;
-
-    /** Maximum duration of one watch for upstream changes; a dead connection is detected half a second later. */
-    private static final long UPSTREAMS_WATCH_MS = 1_500;
-
     /** Maximum configuration age for denying a request (4xx); an older one may lack a route or key that exists. */
     private static final long MAX_DENIAL_AGE_MS = 2_500;
 
@@ -71,8 +62,7 @@
     private final Clock clock;
     private final DecisionLog log;
     private final StoreView storeView;
-    private final StoreWatcher<GatewayConfiguration> configurationWatcher;
-    private final StoreWatcher<UpstreamEntry> upstreamWatcher;
+    private final StoreWatchers storeWatchers;
     private final PeerLoads peerLoads = new PeerLoads();
     private final PeerChannel peerChannel;
     private final PeerDirectory peerDirectory;
@@ -111,22 +101,7 @@
         this.eventLoopMonitor = new EventLoopMonitor(metrics, log);
         this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
         this.storeView = new StoreView(log, clock, settings, this::onStoreViewChanged);
-        this.configurationWatcher = new StoreWatcher<>(
-                dialect.configuration(),
-                eventLoop,
-                clock,
-                settings.storeAddress(),
-                storeView.configurationListener(),
-                log,
-                CONFIGURATION_WATCH_MS);
-        this.upstreamWatcher = new StoreWatcher<>(
-                dialect.upstreams(),
-                eventLoop,
-                clock,
-                settings.storeAddress(),
-                storeView.upstreamListener(),
-                log,
-                UPSTREAMS_WATCH_MS);
+        this.storeWatchers = new StoreWatchers(eventLoop, clock, settings, dialect, storeView, metrics, log);
         this.peerChannel = new PeerChannel(log, settings.name(), peerLoads, new PeerReportHandler(this), clock);
         this.upstreamLimits = new UpstreamLimits(settings.name(), this::allUpstreams, peerChannel::send, log);
         this.quarantineStore = new QuarantineStore(
@@ -184,8 +159,7 @@
             bindFailures.logFailure(StatusServer.listen(
                     eventLoop, settings.metricsAddress(), () -> new StatusServer.Status(true, metrics.render())));
             peerChannel.open(eventLoop, settings.peerAddress());
-            configurationWatcher.start();
-            upstreamWatcher.start();
+            storeWatchers.start();
             peerDirectory.start();
             quarantineStore.start();
             eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -281,6 +255,10 @@
         dispatcher(prompt.service()).crashProtection().guard().onStored(prompt, clock.steadyMs());
     }
 
+    EvacuatedDataCentres evacuations() {
+        return storeView.evacuations();
+    }
+
     PeerLoads peerLoads() {
         return peerLoads;
     }
@@ -486,8 +464,7 @@
     }
 
     private void close() {
-        configurationWatcher.close();
-        upstreamWatcher.close();
+        storeWatchers.close();
         peerDirectory.close();
         quarantineStore.close();
         peerChannel.close();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayDialect.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewayDialect.java
@@ -11,10 +11,12 @@
  * @param upstreams format of the stored upstream entries
  * @param gateways format of the stored gateway registrations
  * @param quarantines format of the stored quarantined prompts
+ * @param evacuations format of the stored evacuations, of which only the names count
  */
 public record GatewayDialect(
         HeaderNames headers,
         StoreDialect<GatewayConfiguration> configuration,
         StoreDialect<UpstreamEntry> upstreams,
         RegistryDialect gateways,
-        QuarantineDialect quarantines) {}
+        QuarantineDialect quarantines,
+        StoreDialect<String> evacuations) {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewaySettings.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 
 /**
  * Settings of a gateway.
@@ -18,6 +19,8 @@
  * @param retryRatio allowed retries per request, over all gateways
  * @param retryWindowMs window of the retry budget, in milliseconds
  * @param retrySlack retries allowed in a window in addition to the ratio, over all gateways
+ * @param evacuationMs time after which an evacuation must be in force, in milliseconds; empty if data centres are not
+ *     evacuated
  */
 public record GatewaySettings(
         String name,
@@ -32,11 +35,12 @@
         long drainGraceMs,
         double retryRatio,
         long retryWindowMs,
-        double retrySlack) {
+        double retrySlack,
+        OptionalLong evacuationMs) {
 
     /**
      * Returns a copy with the reloadable settings of another instance. Name and addresses are kept, since a running
-     * process can't change them.
+     * process can't change them, and so is whether it watches the evacuations.
      *
      * @param other settings to copy from
      * @return the copy
@@ -55,6 +59,7 @@
                 other.drainGraceMs,
                 other.retryRatio,
                 other.retryWindowMs,
-                other.retrySlack);
+                other.retrySlack,
+                evacuationMs);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
@@ -11,6 +11,8 @@
 /** Refuses requests of one service that can't be served in time, and says when their clients may return. */
 final class RequestRefusals {
 
+    private static final String EVACUATED = "all data centres with upstreams of the service are evacuated";
+
     private final Gateway gateway;
     private final RequestQueue<Exchange> queue;
     private final UpstreamPool upstreams;
@@ -55,20 +57,33 @@
                         && pauseMs.getAsLong() > exchange.schedulingAttributes().startDeadlineMs() - nowMs);
     }
 
+    /** Refuses a request that arrives while no upstream is left. */
+    void refuseWithoutUpstream(Exchange exchange) {
+        refuse(
+                exchange,
+                ErrorKind.NO_UPSTREAM,
+                upstreams.allEvacuated() ? EVACUATED : "no upstream of the service is available");
+    }
+
     void endUnservable(Exchange exchange) {
-        refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service accepts requests in time");
+        refuse(
+                exchange,
+                ErrorKind.NO_UPSTREAM,
+                upstreams.allEvacuated() ? EVACUATED : "no upstream of the service accepts requests in time");
     }
 
     void refuse(Exchange exchange, ErrorKind kind, String detail) {
         long nowMs = gateway.clock().steadyMs();
-        long retryAfterMs = Math.max(
-                upstreams.allBackingOffForMs(nowMs).orElse(0),
-                RetryAfter.of(
-                        queue.size(),
-                        statistics,
-                        exchange.deadlineMs() - nowMs,
-                        ThreadLocalRandom.current().nextDouble(),
-                        nowMs));
+        long retryAfterMs = Math.max(upstreams.allBackingOffForMs(nowMs).orElse(0), slotDelayMs(exchange, nowMs));
         gateway.endWithProblem(exchange, kind, detail, retryAfterMs);
     }
+
+    /** Slots that become free at evacuated upstreams say nothing about when a request can be served. */
+    private long slotDelayMs(Exchange exchange, long nowMs) {
+        long remainingMs = exchange.deadlineMs() - nowMs;
+        double draw = ThreadLocalRandom.current().nextDouble();
+        return upstreams.allEvacuated()
+                ? RetryAfter.maxDelayMs(remainingMs, draw)
+                : RetryAfter.of(queue.size(), statistics, remainingMs, draw, nowMs);
+    }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
@@ -61,6 +61,10 @@
             return new Refused(
                     ErrorKind.CONFIGURATION_STALE, "no configuration has been loaded yet", RetryAfter.OTHER_GATEWAY_MS);
         }
+        if (!storeView.evacuations().known()) {
+            return new Refused(
+                    ErrorKind.CONFIGURATION_STALE, "no evacuations have been listed yet", RetryAfter.OTHER_GATEWAY_MS);
+        }
         HttpHeaders headers = head.headers();
         String requestId = headers.get(names.requestId());
         if (requestId == null || requestId.isEmpty()) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -41,7 +41,7 @@
     private final Gateway gateway;
     private boolean engine;
     private int tokensPerEvent;
-    private final UpstreamPool upstreams = new UpstreamPool();
+    private final UpstreamPool upstreams;
     private final RequestQueue<Exchange> queue = new RequestQueue<>(Exchange::schedulingAttributes);
     private final Set<Attempt> activeAttempts = new HashSet<>();
     private final DetachedAttempts detachedAttempts = new DetachedAttempts();
@@ -59,6 +59,7 @@
 
     ServiceDispatcher(Gateway gateway, String service, WindowedRetryBudget budget) {
         this.gateway = gateway;
+        this.upstreams = new UpstreamPool(gateway.evacuations());
         this.selector = new UpstreamSelector(gateway);
         this.refusals = new RequestRefusals(gateway, queue, upstreams, statistics);
         this.notices = new UpstreamNotices(gateway);
@@ -113,7 +114,7 @@
             return;
         }
         if (!upstreams.anyUsable()) {
-            refusals.refuse(exchange, ErrorKind.NO_UPSTREAM, "no upstream of the service is available");
+            refusals.refuseWithoutUpstream(exchange);
             return;
         }
         double events = tokensPerEvent == 0 ? 0 : exchange.outputTokens() / tokensPerEvent;
@@ -211,8 +212,7 @@
         activeAttempts.add(attempt);
         upstream.onSend(exchange.promptTokens());
         gateway.upstreamLimits().onSend(upstream, nowMs);
-        long maxIdleMs = maxIdleMs(exchange);
-        UpstreamConnection idle = upstream.takeIdleConnection(nowMs, maxIdleMs);
+        UpstreamConnection idle = upstream.takeIdleConnection(nowMs, maxIdleMs(exchange));
         if (idle != null && idle.open()) {
             write(attempt, idle);
         } else {
@@ -236,7 +236,7 @@
         }
         if (!attempt.upstream().usable()) {
             connection.close();
-            attempt.onFailure("the upstream is leaving");
+            attempt.onFailure("the upstream gets no more requests");
             return;
         }
         long remainingMs = exchange.deadlineMs() - nowMs();
@@ -272,8 +272,8 @@
         return responses;
     }
 
-    void onSlotReleased() {
-        statistics.onSlotReleased(nowMs());
+    void onSlotReleased(Upstream upstream) {
+        upstream.onSlotReleased(statistics, nowMs());
         gateway.execute(this::dispatch);
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.ConfigurationFreshness;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
@@ -23,6 +26,8 @@
     private final ConfigurationFreshness freshness;
     private final RevisionGate versionGate = new RevisionGate();
     private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final EvacuatedDataCentres evacuations;
+    private final String ownDataCentre;
     private final Set<String> reportedDefects = new HashSet<>();
     private @Nullable GatewayConfiguration configuration;
     private @Nullable RouteTable routes;
@@ -32,6 +37,8 @@
         this.log = log;
         this.clock = clock;
         this.onChange = onChange;
+        this.evacuations = new EvacuatedDataCentres(settings.evacuationMs().isPresent());
+        this.ownDataCentre = settings.dataCentre();
         this.freshness = new ConfigurationFreshness(settings.strictRevocation(), settings.revokeMs());
     }
 
@@ -52,6 +59,22 @@
                 configuration().map(GatewayConfiguration::serviceNames).orElse(Set.of()), clock.wallMs());
     }
 
+    EvacuatedDataCentres evacuations() {
+        return evacuations;
+    }
+
+    /** Returns the data centres that are known to exist, or an empty set until the upstreams are listed. */
+    Set<String> dataCentres() {
+        return upstreamsListed
+                ? Stream.concat(Stream.of(ownDataCentre), upstreams().stream().map(UpstreamEntry::dataCentre))
+                        .collect(Collectors.toSet())
+                : Set.of();
+    }
+
+    void notifyChange() {
+        onChange.run();
+    }
+
     ClientLimits limits() {
         GatewayConfiguration current = configuration;
         return current == null ? ClientLimits.DEFAULTS : current.limits();
@@ -66,7 +89,10 @@
     }
 
     boolean ready() {
-        return configuration != null && upstreamsListed && freshness.ready(clock.steadyMs(), clock.wallMs());
+        return configuration != null
+                && upstreamsListed
+                && evacuations.known()
+                && freshness.ready(clock.steadyMs(), clock.wallMs());
     }
 
     /** Removes upstreams that were still missing some time after an outage of the store ended. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
+import org.kingcuproad.policy.gateway.ServiceStatistics;
 import org.kingcuproad.policy.gateway.SharedRequestLimit;
 import org.kingcuproad.policy.gateway.UpstreamAvailability;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -20,6 +22,7 @@
     private static final long MAX_SLOWDOWN_AGE_MS = 1_500;
 
     private UpstreamEntry entry;
+    private final EvacuatedDataCentres evacuations;
     private final UpstreamHealth health = new UpstreamHealth();
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private final SharedRequestLimit requestLimit = new SharedRequestLimit();
@@ -35,8 +38,9 @@
     private double slowdown = 1;
     private long slowdownReportedMs;
 
-    Upstream(UpstreamEntry entry) {
+    Upstream(UpstreamEntry entry, EvacuatedDataCentres evacuations) {
         this.entry = entry;
+        this.evacuations = evacuations;
     }
 
     UpstreamEntry entry() {
@@ -180,6 +184,7 @@
                         replaced,
                         entry.draining(),
                         leaving,
+                        evacuated(),
                         backOffUntilMs,
                         lastSendMs,
                         health.admits(inFlight, nowMs),
@@ -187,8 +192,30 @@
                 nowMs);
     }
 
-    /** Returns whether the upstream gets new requests in its present incarnation, now or later. */
+    /** Returns whether operators have evacuated the upstream's data centre, so that it gets no requests. */
+    boolean evacuated() {
+        return evacuations.covers(entry.dataCentre());
+    }
+
+    /** Returns the number of requests that the upstream may process; fewer right after an evacuation. */
+    int usableSlots(long nowMs) {
+        return evacuations.usableSlots(entry.dataCentre(), entry.slots(), nowMs);
+    }
+
+    /** Records that a request has left a slot. A slot of an evacuated upstream shortens no request's wait. */
+    void onSlotReleased(ServiceStatistics statistics, long nowMs) {
+        if (!evacuated()) {
+            statistics.onSlotReleased(nowMs);
+        }
+    }
+
+    /** Returns whether new requests may be sent to the upstream, unless it is only busy or asks for a pause. */
     boolean usable() {
+        return inService() && !evacuated();
+    }
+
+    /** Returns whether the upstream's present incarnation serves requests, and is not expected to end. */
+    boolean inService() {
         return !removed && !replaced && !leaving && !entry.draining();
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamCrashDetector.java
@@ -165,7 +165,7 @@
 
     private void onProbedLater(Upstream upstream, ProbeResult result) {
         List<Unexplained> requests = unexplained.remove(upstream);
-        if (requests == null || !upstream.usable()) {
+        if (requests == null || !upstream.inService()) {
             return;
         }
         // Another probe may have found the crash, and the process may have started again since.
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 
 /** The upstreams of one service, in a fixed order between updates. */
@@ -26,6 +27,11 @@
         }
     };
     private List<Upstream> list = List.of();
+    private final EvacuatedDataCentres evacuations;
+
+    UpstreamPool(EvacuatedDataCentres evacuations) {
+        this.evacuations = evacuations;
+    }
 
     /** Replaces the set of upstreams. Requests in progress at removed upstreams continue. */
     void update(List<UpstreamEntry> entries) {
@@ -59,7 +65,7 @@
 
     /** Creates an upstream. An incarnation that was listed before still is as it said of itself then. */
     private Upstream create(UpstreamEntry entry) {
-        Upstream upstream = new Upstream(entry);
+        Upstream upstream = new Upstream(entry, evacuations);
         Upstream former = removed.get(entry.id());
         if (former != null && former.entry().startedMs() == entry.startedMs()) {
             upstream.inheritNotices(former);
@@ -80,6 +86,11 @@
         return list.stream().anyMatch(Upstream::usable);
     }
 
+    /** Returns whether there are upstreams, and those in service are all evacuated. */
+    boolean allEvacuated() {
+        return list.stream().anyMatch(Upstream::inService) && !anyUsable();
+    }
+
     /** Returns the requests a second that all upstreams together accept, or empty if one has not announced a limit. */
     OptionalDouble acceptedPerSecond() {
         List<OptionalDouble> limits = list.stream()
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -39,7 +39,7 @@
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
-                gateway.peerLoads().limit(upstream.entry().slots(), upstream.inFlight(), peers, nowMs),
+                gateway.peerLoads().limit(upstream.usableSlots(nowMs), upstream.inFlight(), peers, nowMs),
                 upstream.pendingPrefillTokens() + peers.pendingPrefillTokens(),
                 upstream.health().latencyMs(),
                 upstream.health().failureRate(),
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -20,10 +20,12 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -70,6 +72,11 @@
 
     private static final long STORE_DELAY_MS = 500;
 
+    private static final long EVACUATION_MS = 5_000;
+
+    /** Target of calls that a gateway must not make. */
+    private static final String UNEXPECTED_TARGET = "/unexpected";
+
     private static final String STEADY = "STEADY";
 
     private final List<AutoCloseable> resources = new ArrayList<>();
@@ -94,7 +101,10 @@
     private long idleTimeoutMs = 5_000;
     private @Nullable ChangingDialect<UpstreamEntry> upstreamDialect;
     private @Nullable ChangingDialect<GatewayConfiguration> configurationDialect;
+    private @Nullable ChangingDialect<String> evacuations;
     private int configurationVersion = 3;
+    private final AtomicInteger unexpectedCalls = new AtomicInteger();
+    private volatile boolean storeAway;
     private String lookupService = SERVICE;
     private OutputStream logOutput = OutputStream.nullOutputStream();
 
@@ -207,6 +217,49 @@
         entries.add(new UpstreamEntry("u" + entries.size(), service, upstreamHost, upstreamPort, "dc", 4, false, 0));
     }
 
+    private void addEntryIn(String dataCentre, int upstreamPort) {
+        entries.add(
+                new UpstreamEntry("u" + entries.size(), SERVICE, "127.0.0.1", upstreamPort, dataCentre, 4, false, 0));
+    }
+
+    FakeUpstream upstreamIn(String dataCentre, Function<String, FakeUpstream.Reply> script) throws IOException {
+        FakeUpstream upstream = new FakeUpstream(script);
+        resources.add(upstream);
+        addEntryIn(dataCentre, upstream.port());
+        return upstream;
+    }
+
+    StreamingUpstream streamingUpstreamIn(String dataCentre, StreamingUpstream.Script script) throws IOException {
+        StreamingUpstream upstream = new StreamingUpstream(script);
+        resources.add(upstream);
+        addEntryIn(dataCentre, upstream.port());
+        return upstream;
+    }
+
+    /** Lets operators evacuate data centres, and makes them begin with some. */
+    void useEvacuations(String listTarget, String... dataCentres) {
+        evacuations = new ChangingDialect<>(
+                Stream.of(dataCentres)
+                        .map(name -> new StoreObject<>(name, Optional.of(name), ""))
+                        .toList(),
+                listTarget);
+    }
+
+    /** Reports a change of an evacuation with the gateway's next watch. */
+    void changeEvacuation(StoreObject<String> entry, boolean removed) {
+        Objects.requireNonNull(evacuations, "no evacuations").change(List.of(new StoreChange<>(entry, removed)));
+    }
+
+    /** Makes the store answer every call with an error, or as usual. */
+    void setStoreAway(boolean away) {
+        storeAway = away;
+    }
+
+    /** Returns the number of calls that the gateway's settings do not call for. */
+    int unexpectedCalls() {
+        return unexpectedCalls.get();
+    }
+
     /** Adds a route {@code /NAME/} to a service. */
     void addRoute(String name, RouteKind kind, String service) {
         addedRoutes.add(new AddedRoute(name, kind, service));
@@ -341,14 +394,20 @@
                 drainGraceMs,
                 0.2,
                 10_000,
-                retrySlack);
+                retrySlack,
+                evacuations == null ? OptionalLong.empty() : OptionalLong.of(EVACUATION_MS));
         ChangingDialect<UpstreamEntry> changing = new ChangingDialect<>(upstreams);
         upstreamDialect = changing;
         ChangingDialect<GatewayConfiguration> configurations = new ChangingDialect<>(
                 List.of(new StoreObject<>("main", Optional.of(configuration()), "")), configurationTarget);
         configurationDialect = configurations;
-        GatewayDialect dialect =
-                new GatewayDialect(NAMES, configurations, changing, new FakeRegistry(), new FakeQuarantines());
+        GatewayDialect dialect = new GatewayDialect(
+                NAMES,
+                configurations,
+                changing,
+                new FakeRegistry(),
+                new FakeQuarantines(),
+                evacuations == null ? new ChangingDialect<>(List.of(), UNEXPECTED_TARGET) : evacuations);
         NioEventLoopGroup loops = new NioEventLoopGroup(1);
         exit = () -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         resources.add(exit);
@@ -369,6 +428,10 @@
             return thread;
         }));
         store.createContext("/list", exchange -> respond(exchange, 0));
+        store.createContext(UNEXPECTED_TARGET, exchange -> {
+            unexpectedCalls.incrementAndGet();
+            respond(exchange, 0);
+        });
         store.createContext("/late-list", exchange -> respond(exchange, STORE_DELAY_MS));
         store.createContext("/watch", exchange -> respond(exchange, STORE_DELAY_MS));
         store.start();
@@ -376,13 +439,13 @@
         return store;
     }
 
-    private static void respond(HttpExchange exchange, long delayMs) throws IOException {
+    private void respond(HttpExchange exchange, long delayMs) throws IOException {
         try {
             Thread.sleep(delayMs);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
-        exchange.sendResponseHeaders(200, -1);
+        exchange.sendResponseHeaders(storeAway ? 503 : 200, -1);
         exchange.close();
     }
 
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 
 /** Guards against a wrong conclusion from whether an upstream still listens after a response without framing. */
@@ -445,7 +446,8 @@
     /** A connection that was opened before a response ended says nothing about that response. */
     @Test
     void probesAgainForAResponseThatEndsWhileAProbeIsUnderWay() {
-        Upstream upstream = new Upstream(new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0));
+        Upstream upstream = new Upstream(
+                new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0), new EvacuatedDataCentres(false));
         List<Consumer<ProbeResult>> probes = new ArrayList<>();
         List<ProbeResult> second = new ArrayList<>();
         UpstreamCrashDetector detector =
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 
 /** Guards against taking a rank that cuts its requests because its group is stalled for one that has crashed. */
 class UpstreamCrashDetectorTest {
 
-    private final Upstream upstream = new Upstream(new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0));
+    private final Upstream upstream = new Upstream(
+            new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0), new EvacuatedDataCentres(false));
     private final List<Consumer<ProbeResult>> probes = new ArrayList<>();
     private final List<List<List<String>>> crashes = new ArrayList<>();
     private final List<ProbeResult> ended = new ArrayList<>();
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamLimitsTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamLimitsTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.runtime.log.DecisionLog;
 import org.kingcuproad.runtime.log.LineSink;
@@ -52,7 +53,8 @@
     private long nowMs;
 
     private static Upstream upstream(String id) {
-        return new Upstream(new UpstreamEntry(id, "desk", "127.0.0.1", 1, "dc", 4, false, 7));
+        return new Upstream(
+                new UpstreamEntry(id, "desk", "127.0.0.1", 1, "dc", 4, false, 7), new EvacuatedDataCentres(false));
     }
 
     private void runUntil(long endMs) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamNoticesTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamNoticesTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 
 /** Guards against requests to upstreams whose responses say that they leave or want no requests for some time. */
@@ -145,7 +146,7 @@
     /** Guards against an older listing that makes a leaving upstream usable again. */
     @Test
     void remembersThatAnIncarnationLeavesAlthoughItIsListedAgain() {
-        UpstreamPool pool = new UpstreamPool();
+        UpstreamPool pool = new UpstreamPool(new EvacuatedDataCentres(false));
         UpstreamEntry entry = new UpstreamEntry("u", "desk", "127.0.0.1", 80, "dc", 4, false, 5);
         pool.update(List.of(entry));
         pool.list().getFirst().setLeaving();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamAvailability.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamAvailability.java
@@ -44,6 +44,8 @@
         DRAINING,
         /** A response of the upstream said that it is leaving. */
         LEAVING,
+        /** Operators have evacuated its data centre. */
+        EVACUATED,
         /** The upstream rejected a request and said when to come back. */
         BACKING_OFF,
         /** The time for which it asked for no requests has just ended, and requests return by degrees. */
@@ -74,6 +76,9 @@
         if (state.draining()) {
             return new Unavailable(Reason.DRAINING, NEVER_MS);
         }
+        if (state.evacuated()) {
+            return new Unavailable(Reason.EVACUATED, nowMs);
+        }
         if (state.backOffUntilMs() > nowMs) {
             return new Unavailable(Reason.BACKING_OFF, state.backOffUntilMs());
         }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamState.java
@@ -7,6 +7,7 @@
  * @param replaced whether another upstream runs at its address
  * @param draining whether the register says that it is draining
  * @param leaving whether one of its responses said that it is leaving
+ * @param evacuated whether operators have evacuated its data centre
  * @param backOffUntilMs time until which it asked for no requests, in milliseconds
  * @param lastSendMs time at which it was last sent a request, in milliseconds
  * @param healthy whether its health admits a request
@@ -17,6 +18,7 @@
         boolean replaced,
         boolean draining,
         boolean leaving,
+        boolean evacuated,
         long backOffUntilMs,
         long lastSendMs,
         boolean healthy,
