Order and refuse requests by priority where priorities differ

The expected wait of a request counted the whole queue, so urgent requests were refused while less urgent ones waited, and late urgent requests came after all others. Where routes of a service or workspaces have different priorities, the wait now counts what starts before a request, including the more urgent requests that are yet to arrive, and the requests at the end of the order are refused, also if they were queued before. Kinds, workspaces and large requests that are served too rarely go first. With a single priority the order is unchanged.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Exchange.java
@@ -9,6 +9,8 @@
 import org.kingcuproad.policy.gateway.GatewayRoute;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.SchedulingAttributes;
+import org.kingcuproad.policy.scarcity.RequestTraits;
+import org.kingcuproad.policy.scarcity.ScarceRequest;
 
 /** One client request, from its complete body to its complete response. All methods are called on the event loop. */
 final class Exchange {
@@ -59,6 +61,7 @@
     private final ForwardedResponse forwarded = new ForwardedResponse();
     private @Nullable Attempt attempt;
     private @Nullable String lastFailure;
+    private RequestTraits traits = RequestTraits.NONE;
 
     Exchange(
             ClientConnection connection,
@@ -266,6 +269,15 @@
         lastFailure = failure;
     }
 
+    void setTraits(RequestTraits requestTraits) {
+        traits = requestTraits;
+    }
+
+    /** Returns what the decisions on scarce capacity need to know. */
+    ScarceRequest scarceRequest() {
+        return new ScarceRequest(schedulingAttributes(), traits, !tried() && !headSent() && !mayHaveRun);
+    }
+
     /**
      * Returns the attributes by which the queue orders and expires the request. A stream that is being resumed comes
      * before all other requests.
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -321,7 +321,7 @@
         storeView
                 .configuration()
                 .ifPresent(current -> current.services()
-                        .forEach((service, configuration) -> dispatcher(service).configure(configuration)));
+                        .forEach((service, configuration) -> dispatcher(service).configure(configuration, current)));
         dispatchers.forEach((service, dispatcher) -> dispatcher.update(byService.getOrDefault(service, List.of())));
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
@@ -15,6 +15,7 @@
     private final RequestQueue<Exchange> queue;
     private final UpstreamPool upstreams;
     private final ServiceStatistics statistics;
+    private final ScarceCapacity scarcity;
 
     RequestRefusals(
             Gateway gateway, RequestQueue<Exchange> queue, UpstreamPool upstreams, ServiceStatistics statistics) {
@@ -22,28 +23,68 @@
         this.queue = queue;
         this.upstreams = upstreams;
         this.statistics = statistics;
+        this.scarcity = new ScarceCapacity(gateway, queue);
     }
 
-    /** Refuses a queued request that is expected to start too late. */
+    ScarceCapacity scarcity() {
+        return scarcity;
+    }
+
+    /** Removes a request from the queue whose client has disconnected. */
+    void cancel(Exchange exchange) {
+        if (queue.remove(exchange)) {
+            scarcity.onNotServed(exchange, gateway.clock().steadyMs());
+        }
+    }
+
+    /** Ends the queued requests whose start deadline has passed. */
+    void endExpired(long nowMs) {
+        for (Exchange exchange : queue.removeExpired(nowMs)) {
+            if (exchange.headSent()) {
+                gateway.abort(exchange, "no upstream had capacity to resume the stream");
+            } else if (exchange.mayHaveRun()) {
+                gateway.endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline", -1);
+            } else {
+                refuse(exchange, ErrorKind.OVERLOADED, "no upstream had capacity in time");
+            }
+        }
+    }
+
+    /**
+     * Refuses a queued request that is expected to start too late. Where priorities differ, requests that it has
+     * delayed too much are refused in its place.
+     */
     void refuseIfLate(Exchange exchange, long nowMs) {
         if (returnsTooLate(exchange, nowMs) && queue.remove(exchange)) {
             endUnservable(exchange);
             return;
         }
+        if (scarcity.active()) {
+            scarcity.overdue(statistics, upstreams.acceptedPerSecond(), nowMs)
+                    .forEach(refusal -> refuseForWait(refusal.request(), refusal.expectedWaitMs(), nowMs));
+            return;
+        }
         QueueAdmissionDecision admission = QueueAdmissionDecision.of(
                 exchange.schedulingAttributes(), queue.size(), statistics, upstreams.acceptedPerSecond(), nowMs);
-        if (admission.refused() && queue.remove(exchange)) {
+        if (admission.refused()) {
+            refuseForWait(exchange, admission.expectedWaitMs(), nowMs);
+        }
+    }
+
+    private void refuseForWait(Exchange exchange, long expectedWaitMs, long nowMs) {
+        if (queue.remove(exchange)) {
+            scarcity.onNotServed(exchange, nowMs);
+            if (nowMs > exchange.arrivedMs()) {
+                gateway.metrics().count("refused_after_queueing");
+            }
             long retryAfterMs = RetryAfter.ofWait(
-                    admission.expectedWaitMs(),
+                    expectedWaitMs,
                     statistics,
                     exchange.deadlineMs() - nowMs,
                     ThreadLocalRandom.current().nextDouble(),
                     nowMs);
             gateway.endWithProblem(
-                    exchange,
-                    ErrorKind.OVERLOADED,
-                    "the expected wait is " + admission.expectedWaitMs() + " ms",
-                    retryAfterMs);
+                    exchange, ErrorKind.OVERLOADED, "the expected wait is " + expectedWaitMs + " ms", retryAfterMs);
         }
     }
 
@@ -61,6 +102,7 @@
 
     void refuse(Exchange exchange, ErrorKind kind, String detail) {
         long nowMs = gateway.clock().steadyMs();
+        scarcity.onNotServed(exchange, nowMs);
         long retryAfterMs = Math.max(
                 upstreams.allBackingOffForMs(nowMs).orElse(0),
                 RetryAfter.of(
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.FramingHabit;
+import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.RetryAfter;
 import org.kingcuproad.policy.gateway.RetryPolicy;
@@ -92,7 +93,8 @@
     }
 
     /** Applies the configuration of the service, which may arrive after its first upstreams. */
-    void configure(ServiceConfiguration configuration) {
+    void configure(ServiceConfiguration configuration, GatewayConfiguration whole) {
+        refusals.scarcity().configure(configuration.name(), whole);
         engine = configuration.engine();
         tokensPerEvent = configuration.tokensPerEvent();
     }
@@ -129,7 +131,7 @@
                     retryAfterMs);
             return;
         }
-        queue.add(exchange);
+        refusals.scarcity().enqueue(exchange, nowMs);
         dispatch();
         if (exchange.attempt() == null && !exchange.done()) {
             refusals.refuseIfLate(exchange, nowMs);
@@ -207,6 +209,7 @@
     private void send(Exchange exchange, Upstream upstream, long nowMs) {
         Attempt attempt = new Attempt(this, exchange, upstream, nowMs);
         exchange.setAttempt(attempt);
+        refusals.scarcity().onSend(exchange, nowMs);
         exchange.onSend(upstream.entry().id(), nowMs);
         activeAttempts.add(attempt);
         upstream.onSend(exchange.promptTokens());
@@ -413,7 +416,7 @@
 
     /** Cancels a request whose client has disconnected. The upstream may finish a non-idempotent request. */
     void cancel(Exchange exchange) {
-        queue.remove(exchange);
+        refusals.cancel(exchange);
         Attempt attempt = exchange.attempt();
         if (attempt != null) {
             activeAttempts.remove(attempt);
@@ -436,15 +439,7 @@
                 .forEach(refusals::endUnservable);
         queue.removeMatching(exchange -> exchange.tried() && !upstreams.anyAdmitted(exchange))
                 .forEach(this::endWithoutUpstream);
-        for (Exchange exchange : queue.removeExpired(nowMs)) {
-            if (exchange.headSent()) {
-                gateway.abort(exchange, "no upstream had capacity to resume the stream");
-            } else if (exchange.mayHaveRun()) {
-                gateway.endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline", -1);
-            } else {
-                refusals.refuse(exchange, ErrorKind.OVERLOADED, "no upstream had capacity in time");
-            }
-        }
+        refusals.endExpired(nowMs);
         for (Attempt attempt : new ArrayList<>(activeAttempts)) {
             sweep(attempt, nowMs);
         }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RequestQueue.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RequestQueue.java
@@ -21,6 +21,26 @@
 
     private final Function<T, SchedulingAttributes> attributes;
     private final List<T> queued = new ArrayList<>();
+    private StartOrder<T> order = this::startOrder;
+
+    /**
+     * An order in which requests start.
+     *
+     * @param <T> type of the requests
+     */
+    @FunctionalInterface
+    public interface StartOrder<T> {
+
+        /**
+         * Returns the order.
+         *
+         * @param timeToFirstResponseMs expected time from sending a request to the first part of its response, in
+         *     milliseconds
+         * @param nowMs current time, in milliseconds
+         * @return the order, the request to start next first
+         */
+        Comparator<T> at(double timeToFirstResponseMs, long nowMs);
+    }
 
     /**
      * Creates an empty queue.
@@ -31,6 +51,15 @@
         this.attributes = attributes;
     }
 
+    /**
+     * Replaces the order in which requests start.
+     *
+     * @param replacement the order, or empty for the order described above
+     */
+    public void setOrder(Optional<StartOrder<T>> replacement) {
+        order = replacement.orElse(this::startOrder);
+    }
+
     /**
      * Adds a request.
      *
@@ -68,11 +97,23 @@
      * @return the request, or empty if the queue is empty
      */
     public Optional<T> poll(double timeToFirstResponseMs, long nowMs) {
-        Optional<T> next = queued.stream().min(startOrder(timeToFirstResponseMs, nowMs));
+        Optional<T> next = queued.stream().min(order.at(timeToFirstResponseMs, nowMs));
         next.ifPresent(queued::remove);
         return next;
     }
 
+    /**
+     * Returns the queued requests in the order in which they start.
+     *
+     * @param timeToFirstResponseMs expected time from sending a request to the first part of its response, in
+     *     milliseconds
+     * @param nowMs current time, in milliseconds
+     * @return the requests, which stay queued
+     */
+    public List<T> ordered(double timeToFirstResponseMs, long nowMs) {
+        return queued.stream().sorted(order.at(timeToFirstResponseMs, nowMs)).toList();
+    }
+
     /**
      * Removes and returns the requests whose start deadline has passed.
      *
