Detect shifts from all sets together

A shift was looked for set by set, with a half-life of 250 ms, and only between plans and changes. Now the squared differences of all sets are summed, with a half-life of 100 ms, also while a plan or a change is in progress; a plan for the old pattern is given up, and the estimate starts anew with the samples of the last 120 ms.

The virtual-time test now models passes, intervals between samples, planning time (10 ms a step), reports and the lead of the held pass.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -41,6 +41,9 @@
     /** Minimum time between two plans; a plan takes some milliseconds on a small processor. */
     private static final long PLAN_INTERVAL_MS = 200;
 
+    /** Minimum time between two checks for a shift of popularity, which read all counters. */
+    private static final long DETECTION_INTERVAL_MS = 50;
+
     /** Multiple of the time that a plan takes after which the next one may begin; others need the processor too. */
     private static final long PLAN_PAUSE_FACTOR = 1;
 
@@ -66,7 +69,7 @@
     private static final double MIN_URGENCY = 0.15;
 
     /** Number of recent choices below which loads are unreliable; a request of usual size makes some ten thousand. */
-    private static final double MIN_CHOICES = 500_000;
+    private static final double MIN_CHOICES = 200_000;
 
     /**
      * Silence after which the engine of a rank is called directly. It exceeds the report interval of idle ranks, since
@@ -97,6 +100,7 @@
     private @Nullable ExpertPlacement plannedFrom;
     private long planStartedMs;
     private long nextPlanMs = Long.MIN_VALUE / 2;
+    private long nextDetectionMs = Long.MIN_VALUE / 2;
     private long changeStartedMs;
     private long copiesEndedMs;
     private double switchMs = INITIAL_SWITCH_MS;
@@ -226,6 +230,7 @@
     /** Plans a map change if one is due, and returns the next actions; {@code own} is the state of the own rank. */
     List<SwitchAction> nextActions(RankState own, long nowMs) {
         Optional<ExpertPlacement> current = currentPlacement(own);
+        detectShift(nowMs);
         if (ownRank == 0 && current.isPresent()) {
             plan(current.get(), nowMs);
         }
@@ -272,6 +277,22 @@
         return Optional.ofNullable(cachedPlacement);
     }
 
+    /** Looks for a shift, also while a plan or a change is in progress; a plan for the old pattern is given up. */
+    private void detectShift(long nowMs) {
+        if (ownRank != 0 || nowMs < nextDetectionMs || demand.recentTotal() < MIN_CHOICES) {
+            return;
+        }
+        nextDetectionMs = nowMs + DETECTION_INTERVAL_MS;
+        if (demand.detectShift(nowMs)) {
+            planner = null;
+            nextPlanMs = nowMs;
+            metrics.count("demand_shifted");
+            log.event("demand shifted")
+                    .field("lifetimeMs", demand.expectedLifetimeMs(nowMs))
+                    .write();
+        }
+    }
+
     /** Starts a plan if one is due, or does the next step of the one in progress. */
     private void plan(ExpertPlacement current, long nowMs) {
         MapChangePlanner inProgress = planner;
@@ -296,11 +317,6 @@
             nextPlanMs = nowMs + PLAN_INTERVAL_MS;
             return;
         }
-        if (demand.detectShift(current, nowMs)) {
-            log.event("demand shifted")
-                    .field("lifetimeMs", demand.expectedLifetimeMs(nowMs))
-                    .write();
-        }
         planStartedMs = nowMs;
         plannedFrom = current;
         planner = new MapChangePlanner(new PlanningInput(
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/DemandEstimator.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/DemandEstimator.java
@@ -6,30 +6,34 @@
 /**
  * Estimates the demand for experts and how long it will last.
  *
- * <p>Popularity is steady for some time and then shifts. The estimate uses all choices since the last shift, older ones
- * with less weight: under steady demand it becomes more accurate, and after a shift it follows at once. A shift is a
- * rank that the choices of the last half second load much more than the estimate says, by more than chance explains.
- * With few requests a second the last choices always differ from the estimate, because each request has favourites of
- * its own.
+ * <p>Popularity is steady for some time and then shifts for all sets at once. The estimate uses all choices since the
+ * last shift, older ones with less weight: under steady demand it becomes more accurate. A shift is a difference
+ * between the latest choices and the estimate, summed over all sets, that is larger than chance explains; the sum tells
+ * it from chance after a few requests, when no single set does. With few requests a second the last choices always
+ * differ from the estimate, because each request has favourites of its own. After a shift the estimate starts anew with
+ * the latest samples, since a mixture of two patterns fits neither.
  *
  * <p>Not thread-safe.
  */
 public final class DemandEstimator {
 
-    /** Half-life of the choices that reveal a shift; shorter than the seconds that a pattern lasts. */
-    private static final double RECENT_HALF_LIFE_MS = 250;
+    /** Half-life of the choices that reveal a shift; one sample of each rank replaces most of the older ones. */
+    private static final double RECENT_HALF_LIFE_MS = 100;
 
     /** Half-life of the estimate under steady demand. */
     private static final double STEADY_HALF_LIFE_MS = 4_000;
 
-    /** Difference of a rank's loads, in mean loads, below which a shift is of no importance. */
-    private static final double MIN_SHIFT = 0.25;
-
     /**
-     * Squared difference, in variances, above which a difference of one rank in one set is no chance. Twice the
-     * logarithm of the number of ranks and sets is added, because the largest of many differences is compared.
+     * Difference between two patterns, as a part of how uneven they are, below which a shift is of no importance. A
+     * window of which a third is from the new pattern exceeds it if most experts change their popularity.
      */
-    private static final double MIN_SQUARED_DEVIATION = 8;
+    private static final double MIN_DISTANCE = 0.08;
+
+    /** Standard errors above which a difference is no chance; there are about ten checks a second. */
+    private static final double MIN_DEVIATIONS = 6;
+
+    /** Age of the oldest sample with which the estimate starts anew when a shift is found. */
+    private static final long RESTART_AGE_MS = 120;
 
     /** Time after a shift in which a further detection refines the same shift. */
     private static final long SAME_SHIFT_MS = 900;
@@ -43,9 +47,12 @@
     private final GroupShape shape;
     private final ExpertLoads recent;
     private ExpertLoads sinceShift;
+    private final Deque<TimedSample> latest = new ArrayDeque<>();
     private final Deque<Long> shiftsMs = new ArrayDeque<>();
     private long firstSampleMs = Long.MIN_VALUE;
 
+    private record TimedSample(ChoiceSample sample, long receivedMs) {}
+
     /**
      * Creates an estimator without any samples.
      *
@@ -67,10 +74,14 @@
         firstSampleMs = firstSampleMs == Long.MIN_VALUE ? nowMs : firstSampleMs;
         recent.onSample(sample, nowMs);
         sinceShift.onSample(sample, nowMs);
+        latest.addLast(new TimedSample(sample, nowMs));
+        while (nowMs - latest.getFirst().receivedMs() > RESTART_AGE_MS) {
+            latest.removeFirst();
+        }
     }
 
     /**
-     * Returns the number of choices of the last half second.
+     * Returns the number of the latest choices.
      *
      * @return the decayed number of choices over all sets
      */
@@ -81,54 +92,53 @@
     /**
      * Starts the estimate anew if popularity has shifted.
      *
-     * @param placement the map in use, by which importance for the ranks is judged
      * @param nowMs current time, in milliseconds
      * @return whether a shift was found
      */
-    public boolean detectShift(ExpertPlacement placement, long nowMs) {
-        boolean shifted = false;
-        for (int set = 0; set < shape.sets() && !shifted; set++) {
-            shifted = shiftedInSet(placement, set);
+    public boolean detectShift(long nowMs) {
+        if (!shifted()) {
+            return false;
         }
-        if (shifted) {
-            sinceShift = recent.withHalfLife(STEADY_HALF_LIFE_MS);
-            Long last = shiftsMs.peekLast();
-            if (last == null || nowMs - last > SAME_SHIFT_MS) {
-                shiftsMs.addLast(nowMs);
-            }
+        sinceShift = new ExpertLoads(STEADY_HALF_LIFE_MS, shape.expertsPerSet());
+        latest.stream()
+                .filter(timed -> nowMs - timed.receivedMs() <= RESTART_AGE_MS)
+                .forEach(timed -> sinceShift.onSample(timed.sample(), timed.receivedMs()));
+        Long last = shiftsMs.peekLast();
+        if (last == null || nowMs - last > SAME_SHIFT_MS) {
+            shiftsMs.addLast(nowMs);
         }
-        return shifted;
+        return true;
     }
 
-    private boolean shiftedInSet(ExpertPlacement placement, int set) {
-        Demand now = recent.demandOfSet(set);
-        Demand before = sinceShift.demandOfSet(set);
-        double nowTotal = now.total();
-        double beforeTotal = before.total();
-        if (nowTotal == 0 || beforeTotal == 0) {
-            return false;
-        }
-        int ranks = placement.ranks();
-        double nowScale = ranks / nowTotal;
-        double beforeScale = ranks / beforeTotal;
-        double minSquaredDeviation = MIN_SQUARED_DEVIATION + 2 * Math.log((double) ranks * shape.sets());
-        int[] replicas = placement.replicas(set, shape.expertsPerSet());
-        for (int rank = 0; rank < ranks; rank++) {
-            double difference = 0;
-            double variance = 0;
-            for (int expert : placement.experts(set, rank)) {
-                double share = 1.0 / replicas[expert];
-                difference += share * (now.counts()[expert] * nowScale - before.counts()[expert] * beforeScale);
-                variance += share
-                        * share
-                        * (now.variances()[expert] * nowScale * nowScale
-                                + before.variances()[expert] * beforeScale * beforeScale);
+    /**
+     * Compares the shares of the experts. The squared differences, less what chance contributes to them on average, are
+     * zero without a shift, up to a standard error that follows from the variances.
+     */
+    private boolean shifted() {
+        double distance = 0;
+        double unevenness = 0;
+        double errorVariance = 0;
+        for (int set = 0; set < shape.sets(); set++) {
+            Demand now = recent.demandOfSet(set);
+            Demand before = sinceShift.demandOfSet(set);
+            double nowTotal = now.total();
+            double beforeTotal = before.total();
+            if (nowTotal == 0 || beforeTotal == 0) {
+                continue;
             }
-            if (difference > MIN_SHIFT && difference * difference > minSquaredDeviation * variance) {
-                return true;
+            double mean = 1.0 / shape.expertsPerSet();
+            for (int expert = 0; expert < shape.expertsPerSet(); expert++) {
+                double nowShare = now.counts()[expert] / nowTotal;
+                double beforeShare = before.counts()[expert] / beforeTotal;
+                double variance = now.variances()[expert] / (nowTotal * nowTotal)
+                        + before.variances()[expert] / (beforeTotal * beforeTotal);
+                double difference = nowShare - beforeShare;
+                distance += difference * difference - variance;
+                unevenness += (beforeShare - mean) * (beforeShare - mean);
+                errorVariance += 2 * variance * variance;
             }
         }
-        return false;
+        return distance > MIN_DISTANCE * unevenness && distance > MIN_DEVIATIONS * Math.sqrt(errorVariance);
     }
 
     /**
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/MapChangePlannerTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/MapChangePlannerTest.java
@@ -28,6 +28,9 @@
     /** Part of the uneven load that may be left on average while popularity shifts every few seconds. */
     private static final double MAX_SHIFTING_EXCESS = 0.5;
 
+    /** Plans of a group with many sets took 0.4 to 0.6 s on agents, in 48 steps. */
+    private static final SimulatedPlacement.Timing TIMING = new SimulatedPlacement.Timing(80, 200, 10);
+
     /** Small groups with cheap and with expensive copies, and large ones. */
     private enum Group {
         CHEAP_COPIES(12, new GroupShape(4, 72, 8, 3, new ExpertCosts(780, 180_000, 0.85)), 1.3, 40, 31),
@@ -54,7 +57,7 @@
         }
 
         private SimulatedPlacement placement(SimulatedDemand demand) {
-            return new SimulatedPlacement(shape, ranks, demand, requestsPerS);
+            return new SimulatedPlacement(shape, ranks, demand, requestsPerS, TIMING);
         }
     }
 
@@ -91,7 +94,7 @@
         int shifts = 8;
         long periodMs = 3_400;
         for (int shift = 0; shift < shifts; shift++) {
-            demand.shift(0.7);
+            placement.shift(0.7);
             placement.run(periodMs);
         }
 
@@ -103,7 +106,7 @@
     void keepsTheMapOfAnEvenlyLoadedGroup() {
         GroupShape shape = new GroupShape(4, 72, 8, 3, new ExpertCosts(780, 180_000, 0.85));
         SimulatedDemand demand = new SimulatedDemand(shape, 12, 0, 40, 3);
-        SimulatedPlacement placement = new SimulatedPlacement(shape, 12, demand, 31);
+        SimulatedPlacement placement = new SimulatedPlacement(shape, 12, demand, 31, TIMING);
 
         placement.run(20_000);
 
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/SimulatedDemand.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/SimulatedDemand.java
@@ -17,6 +17,7 @@
     private final Random random;
     private final double[][] popularity;
     private final long[][] counters;
+    private final long[][] runningPass;
     private final ChoiceSampler[] samplers;
 
     SimulatedDemand(GroupShape shape, int ranks, double skew, int picksPerRequest, long seed) {
@@ -29,6 +30,7 @@
                 .mapToObj(set -> shuffledPopularity())
                 .toArray(double[][]::new);
         this.counters = new long[ranks][shape.sets() * shape.expertsPerSet()];
+        this.runningPass = new long[ranks][shape.sets() * shape.expertsPerSet()];
         this.samplers =
                 IntStream.range(0, ranks).mapToObj(rank -> new ChoiceSampler()).toArray(ChoiceSampler[]::new);
     }
@@ -65,7 +67,7 @@
     void arrive(double requests) {
         int count = (int) requests + (random.nextDouble() < requests % 1 ? 1 : 0);
         for (int request = 0; request < count; request++) {
-            long[] rankCounters = counters[random.nextInt(ranks)];
+            long[] rankCounters = runningPass[random.nextInt(ranks)];
             for (int set = 0; set < shape.sets(); set++) {
                 for (int pick = 0; pick < picksPerRequest; pick++) {
                     rankCounters[set * shape.expertsPerSet() + pick(popularity[set])] += TOKENS_PER_PICK;
@@ -74,6 +76,16 @@
         }
     }
 
+    /** Adds the choices of the pass that has ended to the counters. */
+    void endPass() {
+        for (int rank = 0; rank < ranks; rank++) {
+            for (int index = 0; index < counters[rank].length; index++) {
+                counters[rank][index] += runningPass[rank][index];
+                runningPass[rank][index] = 0;
+            }
+        }
+    }
+
     private int pick(double[] weights) {
         double draw = random.nextDouble();
         int expert = 0;
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/SimulatedPlacement.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/SimulatedPlacement.java
@@ -1,49 +1,87 @@
 package org.kingcuproad.policy.lockstep;
 
+import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Optional;
+import java.util.List;
 import java.util.stream.IntStream;
+import org.jspecify.annotations.Nullable;
 
-/** Plays demand on the placement decisions in virtual time: copies take their time, and a switch follows. */
+/**
+ * Plays demand on the placement decisions in virtual time. Ranks count choices at the end of a pass and send them at
+ * intervals, planning takes processor time, copies take link time, and a map takes effect at a pass held in advance.
+ */
 final class SimulatedPlacement {
 
-    private static final long TICK_MS = 200;
-    private static final double SWITCH_MS = 400;
+    private static final long TICK_MS = 10;
+
+    /** Time from the end of the copies until rank 0 knows of them; agents report every 20 to 60 ms. */
+    private static final long PREPARED_REPORT_MS = 50;
+
+    /** Time from a switch until rank 0 knows the experts that the ranks hold. */
+    private static final long HELD_EXPERTS_MS = 80;
+
+    private static final long DETECTION_INTERVAL_MS = 50;
+    private static final double INITIAL_SWITCH_MS = 350;
+    private static final double SWITCH_WEIGHT = 0.3;
+
+    /**
+     * Durations outside the decisions.
+     *
+     * @param passMs duration of a pass
+     * @param sampleIntervalMs time between two samples of a rank
+     * @param planStepMs time of a planning step on the processor share of an agent
+     */
+    record Timing(long passMs, long sampleIntervalMs, double planStepMs) {}
 
     private final GroupShape shape;
     private final int ranks;
     private final SimulatedDemand demand;
     private final double requestsPerS;
+    private final Timing timing;
     private final DemandEstimator estimator;
     private final double[] even;
     private ExpertPlacement current;
     private ExpertPlacement next;
-    private double switchAtMs;
+    private @Nullable MapChangePlanner planner;
+    private double planningMs;
+    private long planStartedMs;
+    private long nextPlanMs;
     private double copyingUntilMs;
+    private long switchStep;
+    private long knownAtMs;
+    private double switchMs = INITIAL_SWITCH_MS;
+    private long step;
     private long nowMs;
+    private long shiftedMs = Long.MAX_VALUE;
+    private final List<Long> responsesMs = new ArrayList<>();
     private int changes;
     private double passTime;
     private double passTimeUnchanged;
     private double copyingMs;
+    private double maxLoad;
+    private double maxLoadUnchanged;
 
-    SimulatedPlacement(GroupShape shape, int ranks, SimulatedDemand demand, double requestsPerS) {
+    SimulatedPlacement(GroupShape shape, int ranks, SimulatedDemand demand, double requestsPerS, Timing timing) {
         this.shape = shape;
         this.ranks = ranks;
         this.demand = demand;
         this.requestsPerS = requestsPerS;
+        this.timing = timing;
         this.estimator = new DemandEstimator(shape);
         this.current = ExpertPlacement.initial(shape, ranks);
         this.next = current;
         this.even = new double[ranks];
         Arrays.fill(even, 1);
+        updateLoads();
     }
 
     int changes() {
         return changes;
     }
 
-    ExpertPlacement current() {
-        return current;
+    /** Returns the times from a shift to the first map planned after it; shifts without an answer are left out. */
+    List<Long> responsesMs() {
+        return responsesMs;
     }
 
     /** Returns the mean of the maximum rank load, with the slowdown by copies, since the last reset. */
@@ -65,6 +103,14 @@
         passTime = 0;
         passTimeUnchanged = 0;
         copyingMs = 0;
+        responsesMs.clear();
+    }
+
+    /** Exchanges the popularity of a share of the experts. */
+    void shift(double share) {
+        demand.shift(share);
+        shiftedMs = nowMs;
+        updateLoads();
     }
 
     void run(long durationMs) {
@@ -73,26 +119,70 @@
         }
     }
 
+    private void updateLoads() {
+        maxLoad = demand.maxLoad(current);
+        maxLoadUnchanged = demand.maxLoad(ExpertPlacement.initial(shape, ranks));
+    }
+
     private void tick() {
         demand.arrive(requestsPerS * TICK_MS / 1_000.0);
+        if (nowMs % timing.passMs() == 0) {
+            beginPass();
+        }
         for (int rank = 0; rank < ranks; rank++) {
-            demand.sample(rank).ifPresent(sample -> estimator.onSample(sample, nowMs));
+            if ((nowMs + rank * TICK_MS) % timing.sampleIntervalMs() == 0) {
+                demand.sample(rank).ifPresent(sample -> estimator.onSample(sample, nowMs));
+            }
         }
-        if (current != next && nowMs >= switchAtMs) {
-            current = next;
+        if (nowMs % DETECTION_INTERVAL_MS == 0 && estimator.recentTotal() > 0 && estimator.detectShift(nowMs)) {
+            planner = null;
+            nextPlanMs = nowMs;
         }
         boolean copying = nowMs < copyingUntilMs;
-        passTime += TICK_MS * demand.maxLoad(current) * (copying ? 1.15 : 1);
-        passTimeUnchanged += TICK_MS * demand.maxLoad(ExpertPlacement.initial(shape, ranks));
+        passTime += TICK_MS * maxLoad * (copying ? 1.15 : 1);
+        passTimeUnchanged += TICK_MS * maxLoadUnchanged;
         copyingMs += copying ? TICK_MS : 0;
-        if (current == next && estimator.recentTotal() > 0) {
-            estimator.detectShift(current, nowMs);
-            decide();
+        if (current == next && nowMs >= knownAtMs && estimator.recentTotal() > 0) {
+            plan();
+        } else if (current != next && switchStep == 0 && nowMs >= copyingUntilMs + PREPARED_REPORT_MS) {
+            switchStep = step + 4;
         }
     }
 
-    private void decide() {
-        MapChangePlanner planner = new MapChangePlanner(new PlanningInput(
+    private void beginPass() {
+        demand.endPass();
+        step++;
+        if (step == switchStep) {
+            switchStep = 0;
+            current = next;
+            updateLoads();
+            switchMs += SWITCH_WEIGHT * (nowMs - copyingUntilMs - switchMs);
+            knownAtMs = nowMs + HELD_EXPERTS_MS;
+            if (planStartedMs >= shiftedMs) {
+                responsesMs.add(nowMs - shiftedMs);
+                shiftedMs = Long.MAX_VALUE;
+            }
+        }
+    }
+
+    private void plan() {
+        if (planner == null) {
+            if (nowMs >= nextPlanMs) {
+                startPlan();
+            }
+            return;
+        }
+        planningMs += TICK_MS;
+        while (planner != null && planningMs >= timing.planStepMs()) {
+            planningMs -= timing.planStepMs();
+            planner.advance().ifPresent(this::onDecision);
+        }
+    }
+
+    private void startPlan() {
+        planningMs = 0;
+        planStartedMs = nowMs;
+        planner = new MapChangePlanner(new PlanningInput(
                 shape,
                 current,
                 IntStream.range(0, shape.sets())
@@ -100,18 +190,18 @@
                         .toList(),
                 even,
                 1,
-                SWITCH_MS,
+                switchMs,
                 estimator.expectedLifetimeMs(nowMs)));
-        Optional<MapChangeDecision> decision = planner.advance();
-        while (decision.isEmpty()) {
-            decision = planner.advance();
-        }
-        if (decision.get() instanceof MapChangeDecision.Change change) {
+    }
+
+    private void onDecision(MapChangeDecision decision) {
+        planner = null;
+        nextPlanMs = nowMs + Math.max(200, nowMs - planStartedMs);
+        if (decision instanceof MapChangeDecision.Change change) {
             changes++;
             next = change.placement();
             copyingUntilMs = nowMs
                     + change.estimate().copiesOfBusiestRank() * shape.costs().copyMs();
-            switchAtMs = copyingUntilMs + SWITCH_MS;
         }
     }
 }
