Limit requests to cold upstreams

An upstream that had just started was empty, and outside engines its unknown latency counted as 1 ms, so all gateways preferred it for new requests. A service may now state the rate that a cold upstream tolerates (cold_per_s). Upstreams report in their entry for how long they are cold; meanwhile each gateway sends at most its share of the rate, evenly spaced, computed from the largest number of gateways known so far. No messages are needed. An unknown latency counts as the mean of the others.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewaySettings.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.OptionalLong;
+import org.kingcuproad.policy.coldstart.ColdRateBound;
 
 /**
  * Settings of a gateway.
@@ -21,6 +22,7 @@
  * @param retrySlack retries allowed in a window in addition to the ratio, over all gateways
  * @param evacuationMs time after which an evacuation must be in force, in milliseconds; empty if data centres are not
  *     evacuated
+ * @param coldRateBound bound on the requests that all gateways together send to a cold upstream
  */
 public record GatewaySettings(
         String name,
@@ -36,7 +38,8 @@
         double retryRatio,
         long retryWindowMs,
         double retrySlack,
-        OptionalLong evacuationMs) {
+        OptionalLong evacuationMs,
+        ColdRateBound coldRateBound) {
 
     /**
      * Returns a copy with the reloadable settings of another instance. Name and addresses are kept, since a running
@@ -60,6 +63,7 @@
                 other.retryRatio,
                 other.retryWindowMs,
                 other.retrySlack,
-                evacuationMs);
+                evacuationMs,
+                other.coldRateBound);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerDirectory.java
@@ -101,6 +101,7 @@
             retryLater(this::list, "malformed listing: " + malformed, RETRY_DELAY_MS);
             return;
         }
+        loads.onListingEnd();
         if (!closed) {
             eventLoop.schedule(this::list, LIST_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerLoads.java
@@ -20,7 +20,15 @@
     /** Time after which a gateway that neither sends messages nor is registered is removed. */
     private static final long EXPIRY_MS = 15_000;
 
+    /**
+     * Number of listings after which all gateways are known that had started before this one. The first may be some
+     * seconds out of date, and another gateway that starts at the same time may not have registered yet.
+     */
+    private static final int COMPLETE_LISTINGS = 2;
+
     private final Map<String, Peer> peers = new HashMap<>();
+    private int largestCount;
+    private int listings;
 
     /**
      * Requests in progress at one upstream.
@@ -68,6 +76,22 @@
         Peer peer = peers.computeIfAbsent(name, unused -> new Peer(address));
         peer.address = address;
         peer.lastListedMs = nowMs;
+        largestCount = Math.max(largestCount, peers.size());
+    }
+
+    /** Records that all gateways that are registered in the store have been listed. */
+    void onListingEnd() {
+        listings++;
+    }
+
+    /** Returns whether the gateways have been listed long enough after the start to be known. */
+    boolean complete() {
+        return listings >= COMPLETE_LISTINGS;
+    }
+
+    /** Returns the largest number of peers known at the same time; one that falls silent may still send requests. */
+    int largestCount() {
+        return largestCount;
     }
 
     /** Records the loads that a gateway reported. */
@@ -76,6 +100,7 @@
         peer.address = address;
         peer.lastMessageMs = nowMs;
         peer.loads = loads;
+        largestCount = Math.max(largestCount, peers.size());
     }
 
     /** Returns the number of known peers, including those that no longer report. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -88,7 +88,7 @@
 
     /** Replaces the set of upstreams. Requests in progress at removed upstreams continue. */
     void update(List<UpstreamEntry> entries) {
-        upstreams.update(entries);
+        upstreams.update(entries, nowMs());
         dispatch();
     }
 
@@ -96,6 +96,7 @@
     void configure(ServiceConfiguration configuration) {
         engine = configuration.engine();
         tokensPerEvent = configuration.tokensPerEvent();
+        selector.setColdPerSecond(configuration.coldPerSecond());
     }
 
     void adjustBudget(WindowedRetryBudget.Limits limits) {
@@ -445,9 +446,7 @@
                 refusals.refuse(exchange, ErrorKind.OVERLOADED, "no upstream had capacity in time");
             }
         }
-        for (Attempt attempt : new ArrayList<>(activeAttempts)) {
-            sweep(attempt, nowMs);
-        }
+        List.copyOf(activeAttempts).forEach(attempt -> sweep(attempt, nowMs));
         detachedAttempts.sweep(nowMs);
         upstreams.closeExpiredConnections(nowMs);
         dispatch();
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
@@ -190,6 +190,7 @@
                     .field("upstream", id)
                     .field("service", entry.get().service())
                     .field("draining", entry.get().draining())
+                    .field("coldMs", entry.get().coldRemainingMs())
                     .write();
         } else {
             directory.onRemoved(id, nowMs);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.concurrent.ThreadLocalRandom;
+import org.kingcuproad.policy.coldstart.ColdStart;
 import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.ServiceStatistics;
 import org.kingcuproad.policy.gateway.SharedRequestLimit;
@@ -26,6 +28,7 @@
     private final UpstreamHealth health = new UpstreamHealth();
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private final SharedRequestLimit requestLimit = new SharedRequestLimit();
+    private final ColdStart coldStart = new ColdStart();
     private long lastSendMs;
     private int inFlight;
     private double pendingPrefillTokens;
@@ -38,16 +41,22 @@
     private double slowdown = 1;
     private long slowdownReportedMs;
 
-    Upstream(UpstreamEntry entry, EvacuatedDataCentres evacuations) {
+    Upstream(UpstreamEntry entry, EvacuatedDataCentres evacuations, long nowMs) {
         this.entry = entry;
         this.evacuations = evacuations;
+        coldStart.onReport(entry.coldRemainingMs(), ThreadLocalRandom.current().nextDouble(), nowMs);
     }
 
     UpstreamEntry entry() {
         return entry;
     }
 
-    void setEntry(UpstreamEntry current) {
+    /** Takes over the current entry. The same one is passed again whenever another upstream's entry changes. */
+    void setEntry(UpstreamEntry current, long nowMs) {
+        if (current != entry) {
+            coldStart.onReport(
+                    current.coldRemainingMs(), ThreadLocalRandom.current().nextDouble(), nowMs);
+        }
         entry = current;
     }
 
@@ -171,12 +180,13 @@
 
     /** Takes over what an upstream said of itself that is the same incarnation. */
     void inheritNotices(Upstream former) {
+        lastSendMs = former.lastSendMs;
         leaving = former.leaving;
         backOffUntilMs = former.backOffUntilMs;
     }
 
     /** Returns whether new requests may be sent to the upstream now, and if not, why and until when. */
-    UpstreamAvailability availability(double limitShare, long nowMs) {
+    UpstreamAvailability availability(double limitShare, double coldIntervalMs, long nowMs) {
         boolean withinRequestLimit = requestLimit.perSecond().isEmpty() || requestLimit.allows(limitShare, nowMs);
         return UpstreamAvailability.of(
                 new UpstreamState(
@@ -186,6 +196,7 @@
                         leaving,
                         evacuated(),
                         backOffUntilMs,
+                        coldStart.nextSendMs(coldIntervalMs, lastSendMs, nowMs),
                         lastSendMs,
                         health.admits(inFlight, nowMs),
                         withinRequestLimit),
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamPool.java
@@ -34,7 +34,7 @@
     }
 
     /** Replaces the set of upstreams. Requests in progress at removed upstreams continue. */
-    void update(List<UpstreamEntry> entries) {
+    void update(List<UpstreamEntry> entries, long nowMs) {
         Set<String> present = new HashSet<>();
         for (UpstreamEntry entry : entries) {
             present.add(entry.id());
@@ -47,9 +47,9 @@
                 if (existing != null) {
                     remove(existing);
                 }
-                upstreams.put(entry.id(), create(entry));
+                upstreams.put(entry.id(), create(entry, nowMs));
             } else {
-                existing.setEntry(entry);
+                existing.setEntry(entry, nowMs);
             }
         }
         List<String> missing =
@@ -64,8 +64,8 @@
     }
 
     /** Creates an upstream. An incarnation that was listed before still is as it said of itself then. */
-    private Upstream create(UpstreamEntry entry) {
-        Upstream upstream = new Upstream(entry, evacuations);
+    private Upstream create(UpstreamEntry entry, long nowMs) {
+        Upstream upstream = new Upstream(entry, evacuations, nowMs);
         Upstream former = removed.get(entry.id());
         if (former != null && former.entry().startedMs() == entry.startedMs()) {
             upstream.inheritNotices(former);
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -11,11 +11,17 @@
 
     private final Gateway gateway;
     private int rotation;
+    private double coldPerSecond;
 
     UpstreamSelector(Gateway gateway) {
         this.gateway = gateway;
     }
 
+    /** Sets the requests a second that a cold upstream of the service tolerates from all gateways; 0 for no limit. */
+    void setColdPerSecond(double newColdPerSecond) {
+        coldPerSecond = newColdPerSecond;
+    }
+
     /**
      * Selects an upstream that has capacity and to which the request may be sent.
      *
@@ -24,16 +30,28 @@
      */
     OptionalInt select(List<Upstream> upstreams, Exchange exchange, boolean engine, long nowMs) {
         double limitShare = gateway.peerLoads().reportingShare(nowMs);
+        double coldIntervalMs = gateway.settings()
+                .coldRateBound()
+                .intervalMs(
+                        coldPerSecond,
+                        gateway.peerLoads().largestCount() + 1,
+                        gateway.peerLoads().complete());
         List<UpstreamCandidate> candidates = upstreams.stream()
-                .map(upstream -> candidate(upstream, exchange, limitShare, nowMs))
+                .map(upstream -> candidate(upstream, exchange, limitShare, coldIntervalMs, nowMs))
                 .toList();
         return LeastCostSelector.select(candidates, engine, rotation++);
     }
 
-    private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, double limitShare, long nowMs) {
-        boolean available = switch (upstream.availability(limitShare, nowMs)) {
+    private UpstreamCandidate candidate(
+            Upstream upstream, Exchange exchange, double limitShare, double coldIntervalMs, long nowMs) {
+        boolean available = switch (upstream.availability(limitShare, coldIntervalMs, nowMs)) {
             case UpstreamAvailability.Available yes -> true;
-            case UpstreamAvailability.Unavailable no -> false;
+            case UpstreamAvailability.Unavailable no -> {
+                if (no.reason() == UpstreamAvailability.Reason.COLD) {
+                    gateway.metrics().count("cold_upstreams_passed_over");
+                }
+                yield false;
+            }
         };
         boolean admitted = available && exchange.admits(upstream.entry().id());
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -30,6 +30,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.policy.coldstart.ColdRateBound;
 import org.kingcuproad.policy.gateway.ClientLimits;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.GatewayRoute;
@@ -103,6 +104,7 @@
     private @Nullable ChangingDialect<GatewayConfiguration> configurationDialect;
     private @Nullable ChangingDialect<String> evacuations;
     private int configurationVersion = 3;
+    private double coldPerSecond;
     private final AtomicInteger unexpectedCalls = new AtomicInteger();
     private volatile boolean storeAway;
     private String lookupService = SERVICE;
@@ -214,12 +216,12 @@
 
     /** Registers an upstream of a service. */
     void addEntry(String service, String upstreamHost, int upstreamPort) {
-        entries.add(new UpstreamEntry("u" + entries.size(), service, upstreamHost, upstreamPort, "dc", 4, false, 0));
+        entries.add(new UpstreamEntry("u" + entries.size(), service, upstreamHost, upstreamPort, "dc", 4, false, 0, 0));
     }
 
     private void addEntryIn(String dataCentre, int upstreamPort) {
-        entries.add(
-                new UpstreamEntry("u" + entries.size(), SERVICE, "127.0.0.1", upstreamPort, dataCentre, 4, false, 0));
+        entries.add(new UpstreamEntry(
+                "u" + entries.size(), SERVICE, "127.0.0.1", upstreamPort, dataCentre, 4, false, 0, 0));
     }
 
     FakeUpstream upstreamIn(String dataCentre, Function<String, FakeUpstream.Reply> script) throws IOException {
@@ -236,6 +238,20 @@
         return upstream;
     }
 
+    /** Limits the requests a second that all gateways together send to a cold upstream. */
+    void setColdPerSecond(double newColdPerSecond) {
+        coldPerSecond = newColdPerSecond;
+    }
+
+    /** Reports that an upstream is cold with the gateway's next watch. */
+    void reportCold(int index, long remainingMs) {
+        UpstreamEntry entry = entries.get(index);
+        UpstreamEntry cold = new UpstreamEntry(
+                entry.id(), entry.service(), entry.host(), entry.port(), entry.dataCentre(), 4, false, 0, remainingMs);
+        Objects.requireNonNull(upstreamDialect, "no gateway has been created")
+                .change(List.of(new StoreChange<>(new StoreObject<>(entry.id(), Optional.of(cold), ""), false)));
+    }
+
     /** Lets operators evacuate data centres, and makes them begin with some. */
     void useEvacuations(String listTarget, String... dataCentres) {
         evacuations = new ChangingDialect<>(
@@ -267,12 +283,12 @@
 
     /** Registers an upstream of a second service, whose route is {@code /STEADY/}. */
     void addSteadyEntry(int upstreamPort) {
-        entries.add(new UpstreamEntry(STEADY, STEADY, "127.0.0.1", upstreamPort, "dc", 4, false, 0));
+        entries.add(new UpstreamEntry(STEADY, STEADY, "127.0.0.1", upstreamPort, "dc", 4, false, 0, 0));
     }
 
     /** Replaces a registered upstream by a new instance at another port while the gateway runs. */
     void replaceEntry(String id, String newId, int newPort) {
-        UpstreamEntry replacement = new UpstreamEntry(newId, "desk", "127.0.0.1", newPort, "dc", 4, false, 0);
+        UpstreamEntry replacement = new UpstreamEntry(newId, "desk", "127.0.0.1", newPort, "dc", 4, false, 0, 0);
         Objects.requireNonNull(upstreamDialect, "no gateway has been created")
                 .change(List.of(
                         new StoreChange<>(new StoreObject<>(id, Optional.empty(), ""), true),
@@ -370,7 +386,13 @@
                         .collect(Collectors.toMap(
                                 name -> name,
                                 name -> new ServiceConfiguration(
-                                        name, 10, engines && !name.equals(STEADY), 0, Optional.empty(), 120))),
+                                        name,
+                                        10,
+                                        engines && !name.equals(STEADY),
+                                        0,
+                                        Optional.empty(),
+                                        120,
+                                        coldPerSecond))),
                 new ClientLimits(maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs),
                 KeyRequirement.ALWAYS,
                 Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
@@ -395,7 +417,8 @@
                 0.2,
                 10_000,
                 retrySlack,
-                evacuations == null ? OptionalLong.empty() : OptionalLong.of(EVACUATION_MS));
+                evacuations == null ? OptionalLong.empty() : OptionalLong.of(EVACUATION_MS),
+                new ColdRateBound(1.5, 5));
         ChangingDialect<UpstreamEntry> changing = new ChangingDialect<>(upstreams);
         upstreamDialect = changing;
         ChangingDialect<GatewayConfiguration> configurations = new ChangingDialect<>(
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UnprovenEndTest.java
@@ -447,7 +447,9 @@
     @Test
     void probesAgainForAResponseThatEndsWhileAProbeIsUnderWay() {
         Upstream upstream = new Upstream(
-                new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0), new EvacuatedDataCentres(false));
+                new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0, 0),
+                new EvacuatedDataCentres(false),
+                0);
         List<Consumer<ProbeResult>> probes = new ArrayList<>();
         List<ProbeResult> second = new ArrayList<>();
         UpstreamCrashDetector detector =
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamCrashDetectorTest.java
@@ -16,7 +16,7 @@
 class UpstreamCrashDetectorTest {
 
     private final Upstream upstream = new Upstream(
-            new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0), new EvacuatedDataCentres(false));
+            new UpstreamEntry("u1", "desk", "127.0.0.1", 1, "dc", 4, false, 0, 0), new EvacuatedDataCentres(false), 0);
     private final List<Consumer<ProbeResult>> probes = new ArrayList<>();
     private final List<List<List<String>>> crashes = new ArrayList<>();
     private final List<ProbeResult> ended = new ArrayList<>();
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamLimitsTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamLimitsTest.java
@@ -54,7 +54,9 @@
 
     private static Upstream upstream(String id) {
         return new Upstream(
-                new UpstreamEntry(id, "desk", "127.0.0.1", 1, "dc", 4, false, 7), new EvacuatedDataCentres(false));
+                new UpstreamEntry(id, "desk", "127.0.0.1", 1, "dc", 4, false, 7, 0),
+                new EvacuatedDataCentres(false),
+                0);
     }
 
     private void runUntil(long endMs) {
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamNoticesTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/UpstreamNoticesTest.java
@@ -147,15 +147,15 @@
     @Test
     void remembersThatAnIncarnationLeavesAlthoughItIsListedAgain() {
         UpstreamPool pool = new UpstreamPool(new EvacuatedDataCentres(false));
-        UpstreamEntry entry = new UpstreamEntry("u", "desk", "127.0.0.1", 80, "dc", 4, false, 5);
-        pool.update(List.of(entry));
+        UpstreamEntry entry = new UpstreamEntry("u", "desk", "127.0.0.1", 80, "dc", 4, false, 5, 0);
+        pool.update(List.of(entry), 0);
         pool.list().getFirst().setLeaving();
 
-        pool.update(List.of());
-        pool.update(List.of(entry));
+        pool.update(List.of(), 0);
+        pool.update(List.of(entry), 0);
         assertThat(pool.anyUsable()).isFalse();
 
-        pool.update(List.of(new UpstreamEntry("u", "desk", "127.0.0.1", 80, "dc", 4, false, 6)));
+        pool.update(List.of(new UpstreamEntry("u", "desk", "127.0.0.1", 80, "dc", 4, false, 6, 0)), 0);
         assertThat(pool.anyUsable()).isTrue();
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/LeastCostSelector.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/LeastCostSelector.java
@@ -32,11 +32,8 @@
      */
     private static final double SLOWDOWN_PENALTY = 8;
 
-    /**
-     * Latency assumed before the first response, which is also the minimum; low, so that upstreams with unknown latency
-     * are tried.
-     */
-    private static final double DEFAULT_LATENCY_MS = 1;
+    /** Minimum latency, which is also assumed while the latency of no upstream is known. */
+    private static final double MIN_LATENCY_MS = 1;
 
     /**
      * Advantage of an upstream in the same data centre, in requests. It decides only between otherwise equal upstreams.
@@ -55,16 +52,30 @@
      */
     public static OptionalInt select(List<UpstreamCandidate> candidates, boolean engine, int startIndex) {
         int size = candidates.size();
+        double unknownLatencyMs = meanLatencyMs(candidates);
         return IntStream.range(0, size)
                 .map(index -> Math.floorMod(index + startIndex, size))
                 .filter(index -> candidates.get(index).hasCapacity())
                 .boxed()
-                .min(Comparator.comparingDouble(
-                        index -> engine ? engineCost(candidates.get(index)) : nonEngineCost(candidates.get(index))))
+                .min(Comparator.comparingDouble(index -> engine
+                        ? engineCost(candidates.get(index))
+                        : nonEngineCost(candidates.get(index), unknownLatencyMs)))
                 .map(OptionalInt::of)
                 .orElse(OptionalInt.empty());
     }
 
+    /**
+     * Returns the latency assumed for an upstream without a response. One that has just started is slow, so a lower
+     * value would send it most of the requests.
+     */
+    private static double meanLatencyMs(List<UpstreamCandidate> candidates) {
+        return candidates.stream()
+                .mapToDouble(UpstreamCandidate::latencyMs)
+                .filter(latencyMs -> latencyMs > 0)
+                .average()
+                .orElse(MIN_LATENCY_MS);
+    }
+
     private static double engineCost(UpstreamCandidate candidate) {
         return candidate.inFlight()
                 + candidate.pendingPrefillTokens() / PREFILL_TOKENS_PER_REQUEST
@@ -73,8 +84,9 @@
                 - (candidate.sameDataCentre() ? SAME_DATA_CENTRE_BONUS : 0);
     }
 
-    private static double nonEngineCost(UpstreamCandidate candidate) {
-        double latencyMs = Math.max(DEFAULT_LATENCY_MS, candidate.latencyMs());
+    private static double nonEngineCost(UpstreamCandidate candidate, double unknownLatencyMs) {
+        double latencyMs =
+                Math.max(MIN_LATENCY_MS, candidate.latencyMs() > 0 ? candidate.latencyMs() : unknownLatencyMs);
         return (candidate.inFlight() + 1 - (candidate.sameDataCentre() ? SAME_DATA_CENTRE_BONUS : 0))
                 * latencyMs
                 * (1 + FAILURE_PENALTY * candidate.failureRate());
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamAvailability.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamAvailability.java
@@ -50,6 +50,8 @@
         BACKING_OFF,
         /** The time for which it asked for no requests has just ended, and requests return by degrees. */
         RETURNING,
+        /** It has just started, and requests are sent at the low rate that it tolerates. */
+        COLD,
         /** It failed several times in a row, or is tried with a single request. */
         EJECTED,
         /** It has received as many requests as it accepts. */
@@ -85,6 +87,9 @@
         if (nowMs - state.backOffUntilMs() < RETURN_MS && nowMs - state.lastSendMs() < RETURN_INTERVAL_MS) {
             return new Unavailable(Reason.RETURNING, state.lastSendMs() + RETURN_INTERVAL_MS);
         }
+        if (state.coldUntilMs() > nowMs) {
+            return new Unavailable(Reason.COLD, state.coldUntilMs());
+        }
         if (!state.healthy()) {
             return new Unavailable(Reason.EJECTED, nowMs);
         }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamEntry.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamEntry.java
@@ -11,6 +11,8 @@
  * @param slots requests that the upstream processes concurrently
  * @param draining whether the upstream accepts no new requests
  * @param startedMs start time on the upstream's own clock, in Unix milliseconds; 0 if it isn't reported
+ * @param coldRemainingMs time for which the upstream was still cold when it registered this entry, in milliseconds; 0
+ *     if it was not
  */
 public record UpstreamEntry(
         String id,
@@ -20,4 +22,5 @@
         String dataCentre,
         int slots,
         boolean draining,
-        long startedMs) {}
+        long startedMs,
+        long coldRemainingMs) {}
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamState.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamState.java
@@ -9,6 +9,7 @@
  * @param leaving whether one of its responses said that it is leaving
  * @param evacuated whether operators have evacuated its data centre
  * @param backOffUntilMs time until which it asked for no requests, in milliseconds
+ * @param coldUntilMs time before which it gets no request because it is cold, in milliseconds; may have passed
  * @param lastSendMs time at which it was last sent a request, in milliseconds
  * @param healthy whether its health admits a request
  * @param withinRequestLimit whether it accepts more requests a second than it has received
@@ -20,6 +21,7 @@
         boolean leaving,
         boolean evacuated,
         long backOffUntilMs,
+        long coldUntilMs,
         long lastSendMs,
         boolean healthy,
         boolean withinRequestLimit) {}
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/LeastCostSelectorTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/LeastCostSelectorTest.java
@@ -40,6 +40,15 @@
                 .hasValue(1);
     }
 
+    /** Guards against most requests going to an upstream that has just started, while it is slow. */
+    @Test
+    void doesNotPreferUnknownLatency() {
+        assertThat(LeastCostSelector.select(List.of(candidate(2, 0, 0, 1), candidate(1, 0, 20, 1)), false, 0))
+                .hasValue(1);
+        assertThat(LeastCostSelector.select(List.of(candidate(0, 0, 0, 1), candidate(1, 0, 20, 1)), false, 0))
+                .hasValue(0);
+    }
+
     @Test
     void avoidsFailingUpstreams() {
         UpstreamCandidate failing = new UpstreamCandidate(0, 8, 0, 20, 0.6, 1, false, true);
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamAvailabilityTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamAvailabilityTest.java
@@ -11,10 +11,11 @@
 class UpstreamAvailabilityTest {
 
     private static final long NOW_MS = 100_000;
-    private static final UpstreamState SOUND = new UpstreamState(false, false, false, false, false, 0, 0, true, true);
+    private static final UpstreamState SOUND =
+            new UpstreamState(false, false, false, false, false, 0, 0, 0, true, true);
 
     private static UpstreamState backingOffUntil(long untilMs, long lastSendMs) {
-        return new UpstreamState(false, false, false, false, false, untilMs, lastSendMs, true, true);
+        return new UpstreamState(false, false, false, false, false, untilMs, 0, lastSendMs, true, true);
     }
 
     @Test
@@ -24,7 +25,7 @@
 
     @Test
     void neverSendsToAnUpstreamThatLeaves() {
-        UpstreamState leaving = new UpstreamState(false, false, false, true, false, NOW_MS + 5, 0, false, false);
+        UpstreamState leaving = new UpstreamState(false, false, false, true, false, NOW_MS + 5, 0, 0, false, false);
 
         assertThat(UpstreamAvailability.of(leaving, NOW_MS))
                 .isEqualTo(new Unavailable(Reason.LEAVING, UpstreamAvailability.NEVER_MS));
@@ -50,16 +51,19 @@
     @Test
     void tellsTheOtherReasons() {
         assertThat(UpstreamAvailability.of(
-                        new UpstreamState(false, false, false, false, false, 0, 0, false, true), NOW_MS))
+                        new UpstreamState(false, false, false, false, false, 0, 0, 0, false, true), NOW_MS))
                 .isEqualTo(new Unavailable(Reason.EJECTED, NOW_MS));
         assertThat(UpstreamAvailability.of(
-                        new UpstreamState(false, false, false, false, false, 0, 0, true, false), NOW_MS))
+                        new UpstreamState(false, false, false, false, false, 0, 0, 0, true, false), NOW_MS))
                 .isEqualTo(new Unavailable(Reason.LIMITED, NOW_MS));
         assertThat(UpstreamAvailability.of(
-                        new UpstreamState(false, false, false, false, true, 0, 0, true, true), NOW_MS))
+                        new UpstreamState(false, false, false, false, true, 0, 0, 0, true, true), NOW_MS))
                 .isEqualTo(new Unavailable(Reason.EVACUATED, NOW_MS));
         assertThat(UpstreamAvailability.of(
-                        new UpstreamState(false, false, true, false, false, 0, 0, true, true), NOW_MS))
+                        new UpstreamState(false, false, false, false, false, 0, NOW_MS + 5, 0, true, true), NOW_MS))
+                .isEqualTo(new Unavailable(Reason.COLD, NOW_MS + 5));
+        assertThat(UpstreamAvailability.of(
+                        new UpstreamState(false, false, true, false, false, 0, 0, 0, true, true), NOW_MS))
                 .isEqualTo(new Unavailable(Reason.DRAINING, UpstreamAvailability.NEVER_MS));
     }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
@@ -17,8 +17,8 @@
     private static final long SILENT_CONNECTION_MS = 2_100;
 
     private static final long FOREVER_MS = Long.MAX_VALUE / 2;
-    private static final UpstreamEntry FIRST = new UpstreamEntry("1", "s", "h", 1, "dc", 1, false, 0);
-    private static final UpstreamEntry SECOND = new UpstreamEntry("2", "s", "h", 2, "dc", 1, false, 0);
+    private static final UpstreamEntry FIRST = new UpstreamEntry("1", "s", "h", 1, "dc", 1, false, 0, 0);
+    private static final UpstreamEntry SECOND = new UpstreamEntry("2", "s", "h", 2, "dc", 1, false, 0, 0);
 
     private static UpstreamDirectory directoryWithTwoEntries() {
         UpstreamDirectory directory = new UpstreamDirectory();
@@ -30,7 +30,7 @@
     @Test
     void omitsUpstreamWhoseAddressWasTakenOverByNewerOne() {
         UpstreamDirectory directory = directoryWithTwoEntries();
-        UpstreamEntry newer = new UpstreamEntry("3", "s", "h", 1, "dc", 1, false, 7);
+        UpstreamEntry newer = new UpstreamEntry("3", "s", "h", 1, "dc", 1, false, 7, 0);
 
         directory.onEntry(newer);
 
@@ -67,8 +67,8 @@
     @Test
     void keepsAnUpstreamWhoseAddressAnUnusableEntryStates() {
         UpstreamDirectory directory = directoryWithTwoEntries();
-        directory.onEntry(new UpstreamEntry("3", "unknown", "h", 1, "dc", 1, false, 7));
-        directory.onEntry(new UpstreamEntry("4", "s", "h", 2, "dc", 1, false, FOREVER_MS));
+        directory.onEntry(new UpstreamEntry("3", "unknown", "h", 1, "dc", 1, false, 7, 0));
+        directory.onEntry(new UpstreamEntry("4", "s", "h", 2, "dc", 1, false, FOREVER_MS, 0));
 
         assertThat(directory.entries(Set.of("s"), NOW_WALL_MS)).containsExactlyInAnyOrder(FIRST, SECOND);
     }
