--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -89,7 +89,7 @@
 
     /** Replaces the set of upstreams. Requests in progress at removed upstreams continue. */
     void update(List<UpstreamEntry> entries) {
-        upstreams.update(entries);
+        upstreams.update(entries, nowMs());
         dispatch();
     }
 
@@ -98,6 +98,7 @@
         refusals.scarcity().configure(configuration.name(), whole);
         engine = configuration.engine();
         tokensPerEvent = configuration.tokensPerEvent();
+        selector.setColdPerSecond(configuration.coldPerSecond());
     }
 
     void adjustBudget(WindowedRetryBudget.Limits limits) {
@@ -440,9 +441,7 @@
         queue.removeMatching(exchange -> exchange.tried() && !upstreams.anyAdmitted(exchange))
                 .forEach(this::endWithoutUpstream);
         refusals.endExpired(nowMs);
-        for (Attempt attempt : new ArrayList<>(activeAttempts)) {
-            sweep(attempt, nowMs);
-        }
+        List.copyOf(activeAttempts).forEach(attempt -> sweep(attempt, nowMs));
         detachedAttempts.sweep(nowMs);
         upstreams.closeExpiredConnections(nowMs);
         dispatch();
