--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -14,13 +14,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -76,7 +74,7 @@
     private final List<UpstreamEntry> entries = new ArrayList<>();
     private final String host = ownLoopbackAddress();
     private final List<AddedRoute> addedRoutes = new ArrayList<>();
-    private final Set<Integer> chosenPorts = new HashSet<>();
+    private final DistinctPorts ports = new DistinctPorts(this::freePort);
     private final int port;
     private final int readyPort;
     private int peerPort;
@@ -88,6 +86,7 @@
     private int orderAttempts = 1;
     private double retrySlack = 100;
     private @Nullable AutoCloseable exit;
+    private @Nullable Gateway created;
     private long headerTimeoutMs = 1_000;
     private int maxBodyBytes = 10_000;
     private int maxHeaderBytes = 8_192;
@@ -102,8 +101,8 @@
     private record AddedRoute(String name, RouteKind kind, String service) {}
 
     GatewayFixture() throws IOException {
-        this.port = freePort();
-        this.readyPort = freePort();
+        this.port = ports.next();
+        this.readyPort = ports.next();
     }
 
     private static String ownLoopbackAddress() {
@@ -111,14 +110,9 @@
         return "127." + random.nextInt(1, 255) + "." + random.nextInt(1, 255) + "." + random.nextInt(1, 255);
     }
 
-    /** Returns a port that no other call has returned; the system may choose a port again once it is closed. */
     private int freePort() throws IOException {
-        while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-                if (chosenPorts.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
-                }
-            }
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return socket.getLocalPort();
         }
     }
 
@@ -333,7 +327,7 @@
                 "dc",
                 new InetSocketAddress(host, port),
                 new InetSocketAddress(host, readyPort),
-                new InetSocketAddress(host, freePort()),
+                new InetSocketAddress(host, ports.next()),
                 new InetSocketAddress(peerPort == 0 ? host : "127.0.0.1", peerPort),
                 store.getAddress(),
                 true,
@@ -353,7 +347,10 @@
         exit = () -> loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         resources.add(exit);
         LineSink sink = new LineSink(logOutput);
-        return new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis));
+        Gateway gateway =
+                new Gateway(settings, dialect, loops, Clock.SYSTEM, new DecisionLog(sink, System::currentTimeMillis));
+        created = gateway;
+        return gateway;
     }
 
     /** Closes all connections of the gateway, as the exit of its process does. */
@@ -390,6 +387,10 @@
     void awaitReady() throws Exception {
         long endNs = System.nanoTime() + Duration.ofSeconds(10).toNanos();
         while (System.nanoTime() < endNs) {
+            if (created != null && created.stopped().isCompletedExceptionally()) {
+                throw new AssertionError(
+                        "the gateway can't bind an address", created.stopped().exceptionNow());
+            }
             try (Socket socket = new Socket(host, readyPort)) {
                 socket.setSoTimeout(5_000);
                 socket.getOutputStream()
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedUpstream.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ShapedUpstream.java
@@ -28,6 +28,7 @@
     private final Runnable onEnd;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile boolean crashesBeforeTrailing;
 
     /**
      * Starts an upstream.
@@ -45,6 +46,11 @@
         return socket.getLocalPort();
     }
 
+    /** Makes the upstream crash where it would write a second answer behind a body that ends with its connection. */
+    void crashBeforeTrailing() {
+        crashesBeforeTrailing = true;
+    }
+
     private static Thread start(Runnable work) {
         Thread thread = new Thread(work, "shaped-upstream");
         thread.setDaemon(true);
@@ -202,12 +208,15 @@
     }
 
     /** Writes a second answer that nothing separates from the body of the first. */
-    private static void writeTrailing(Socket connection, ShapedRun run, ShapedStutter stutter)
+    private void writeTrailing(Socket connection, ShapedRun run, ShapedStutter stutter)
             throws IOException, InterruptedException {
         ShapedResponse response = run.response();
         byte[] copy = stutter.bytes(response.request().id(), response.seal());
         run.onTrailing(copy);
         Thread.sleep(stutter.delayMs());
+        if (crashesBeforeTrailing) {
+            crash();
+        }
         try {
             connection.getOutputStream().write(copy);
         } catch (IOException failed) {
