Compare decisions on scarce capacity in virtual time

experiment-lockstep now also plays loads above the capacity of a group of 24 ranks and reports credit, kinds, workspaces and sizes.

--- a/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/ExperimentLockstepCommand.java
+++ b/kingcuproad-ctl/src/main/java/org/kingcuproad/ctl/ExperimentLockstepCommand.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.kingcuproad.experiment.lockstep.EngineModel;
 import org.kingcuproad.experiment.lockstep.LockstepExperiment;
+import org.kingcuproad.experiment.lockstep.ScarcityExperiment;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.model.KingcuproadException;
 
@@ -36,6 +37,7 @@
     public ExitCode run(PrintStream out, PrintStream err) throws KingcuproadException {
         try {
             new LockstepExperiment(EngineModel.SHEET, loads, seconds, seeds).run(Path.of(directory), out);
+            new ScarcityExperiment(EngineModel.LARGE_GROUP, seeds).run(Path.of(directory), out);
         } catch (IOException failure) {
             throw new KingcuproadException(ErrorKind.INTERNAL, "cannot write to " + directory, failure);
         }
--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/lockstep/EngineModel.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/lockstep/EngineModel.java
@@ -28,6 +28,9 @@
     /** The group of the users' sheet, with a map as the planner usually leaves it. */
     public static final EngineModel SHEET = new EngineModel(12, 8, 5.85, 0.355, 61.2, 512, 5, 0.85, 1.2);
 
+    /** A group of 24 ranks whose engines emit events of 7 tokens. */
+    public static final EngineModel LARGE_GROUP = new EngineModel(24, 7, 5.85, 0.355, 61.2, 512, 7, 0.85, 1.2);
+
     /**
      * Returns the time that one rank's own part of a pass takes.
      *
--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/lockstep/SimulatedStream.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/lockstep/SimulatedStream.java
@@ -1,33 +1,73 @@
 package org.kingcuproad.experiment.lockstep;
 
 import org.kingcuproad.policy.gateway.SchedulingAttributes;
+import org.kingcuproad.policy.scarcity.RequestTraits;
+import org.kingcuproad.policy.scarcity.ScarceRequest;
 
 /** A request for a stream and what its caller saw of it. */
 final class SimulatedStream {
 
+    /** The gateway starts a stream up to this part of the caller's patience. */
+    private static final double START_SHARE = 0.75;
+
+    /** A tenth of the requests have more than this many times the mean work, if sizes are drawn as the load does. */
+    private static final double LARGE_FACTOR = 1.6;
+
+    private static final int TOKENS_PER_EVENT = 7;
+
+    private final LoadPart origin;
     private final long arrivedMs;
     private final long firstArrivedMs;
     private final boolean returning;
     private final int promptTokens;
     private int unreadTokens;
+    private final int events;
     private int eventsLeft;
+    private boolean largeAtGateway;
     private int rank = -1;
     private long sentMs;
     private double lastEventMs = -1;
     private boolean late;
 
-    SimulatedStream(long arrivedMs, long firstArrivedMs, boolean returning, int promptTokens, int events) {
+    SimulatedStream(
+            LoadPart origin, long arrivedMs, long firstArrivedMs, boolean returning, int promptTokens, int events) {
+        this.origin = origin;
         this.arrivedMs = arrivedMs;
         this.firstArrivedMs = firstArrivedMs;
         this.returning = returning;
         this.promptTokens = promptTokens;
         this.unreadTokens = promptTokens;
+        this.events = events;
         this.eventsLeft = events;
     }
 
     /** Returns the same request as its caller sends it again. */
     SimulatedStream again(long nowMs) {
-        return new SimulatedStream(nowMs, firstArrivedMs, true, promptTokens, eventsLeft);
+        return new SimulatedStream(origin, nowMs, firstArrivedMs, true, promptTokens, eventsLeft);
+    }
+
+    CallerKind kind() {
+        return origin.kind();
+    }
+
+    String workspace() {
+        return origin.workspace();
+    }
+
+    double workTokens() {
+        return promptTokens + TOKENS_PER_EVENT * events;
+    }
+
+    boolean large() {
+        return workTokens() > LARGE_FACTOR * (kind().promptTokens() + TOKENS_PER_EVENT * kind().events());
+    }
+
+    void setLargeAtGateway(boolean large) {
+        largeAtGateway = large;
+    }
+
+    long firstArrivedMs() {
+        return firstArrivedMs;
     }
 
     long arrivedMs() {
@@ -71,8 +111,8 @@
     }
 
     /** Takes an event; returns whether the stream is complete. */
-    boolean onEvent(double nowMs, double goalMs, double longestGapMs) {
-        late |= begun() ? nowMs - lastEventMs > longestGapMs : nowMs - firstArrivedMs > goalMs;
+    boolean onEvent(double nowMs, double longestGapMs) {
+        late |= begun() ? nowMs - lastEventMs > longestGapMs : nowMs - firstArrivedMs > kind().goalMs();
         lastEventMs = nowMs;
         eventsLeft--;
         return eventsLeft == 0;
@@ -86,7 +126,16 @@
         return begun() ? lastEventMs : arrivedMs;
     }
 
-    SchedulingAttributes waiting(double goalMs, double patienceMs) {
-        return new SchedulingAttributes(arrivedMs, firstArrivedMs + (long) goalMs, arrivedMs + (long) patienceMs, 1);
+    SchedulingAttributes waiting() {
+        return new SchedulingAttributes(
+                arrivedMs,
+                firstArrivedMs + (long) kind().goalMs(),
+                arrivedMs + (long) (kind().patienceMs() * START_SHARE),
+                kind().priority());
+    }
+
+    ScarceRequest scarceRequest() {
+        return new ScarceRequest(
+                waiting(), new RequestTraits(kind().name(), workspace(), workTokens(), largeAtGateway), rank < 0);
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/scarcity/ServiceFloors.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/scarcity/ServiceFloors.java
@@ -15,20 +15,20 @@
     /** Callers judge service over some seconds; a burst lasts 3 to 5 s. */
     private static final double WINDOW_MS = 10_000;
 
-    /** Number of recent decisions below which a rate is not known. */
-    private static final double MIN_DECIDED = 4;
+    /** Number of recent decisions below which a rate is not known: with 4, chance put many requests first. */
+    private static final double MIN_DECIDED = 15;
 
     /**
      * Callers require that each kind and workspace is served at least a quarter as often as all requests. The rates of
-     * a single gateway are based on few requests, so that half as much again is aimed at.
+     * a single gateway are based on few requests, so that a fifth more is aimed at.
      */
-    private static final double KIND_FLOOR = 0.375;
+    private static final double KIND_FLOOR = 0.3;
 
     /**
      * Callers require that the largest tenth of a kind is served at least half as often as the kind; the margin is the
      * same.
      */
-    private static final double LARGE_FLOOR = 0.75;
+    private static final double LARGE_FLOOR = 0.6;
 
     private final RecentShare all = new RecentShare(WINDOW_MS);
     private final Map<String, RecentShare> kinds = new HashMap<>();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/scarcity/UrgentDemand.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/scarcity/UrgentDemand.java
@@ -14,8 +14,11 @@
     /** Short enough to follow a burst of 3 s. */
     private static final double WINDOW_MS = 1_000;
 
-    /** The floors leave some capacity to every kind; also bounds the expected wait. */
-    private static final double MIN_FREE_SHARE = 0.1;
+    /**
+     * Bounds the effect on the expected wait. With 0.1, less urgent requests were refused that could have been served,
+     * since the urgent ones that arrive are refused in part, too.
+     */
+    private static final double MIN_FREE_SHARE = 0.5;
 
     private final TreeMap<Integer, RecentShare> arrivals = new TreeMap<>();
 
