Let gateways know the groups of engines

A rank that crashes stops all ranks of its group, but gateways knew of no groups: they continued to send to the stopped ranks, and refused requests because of means over all groups.

Agents report their group to subscribed gateways: ranks 0 and 1 every 700 ms with the addresses of the members, the others when their state changes and while the group is broken. A gateway also takes a group for stopped after the crash of a rank or rejections by two ranks without progress. A stopped group gets no requests, and one that opens again is ramped up within 1.5 s. LeastCostSelector chooses the group first, by the duration of its passes, its slow ranks, its copies and its load. Refusals are based on the statistics of the groups that take requests.

Without recent reports, selection and refusals are as before.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -275,7 +275,7 @@
     private void recordProgress(List<StreamEvent> events) {
         long nowMs = dispatcher.nowMs();
         if (exchange.headSent()) {
-            dispatcher.onEventInterval((double) (nowMs - lastEventMs) / events.size());
+            dispatcher.onEventInterval(upstream, (double) (nowMs - lastEventMs) / events.size());
         }
         if (responseStarted) {
             longestIntervalMs = Math.max(longestIntervalMs, nowMs - lastEventMs);
@@ -283,7 +283,7 @@
         lastEventMs = nowMs;
         exchange.onProgress(nowMs);
         markResponseStarted();
-        dispatcher.onEvent(nowMs);
+        dispatcher.onEvent(upstream, nowMs);
     }
 
     private void forwardEvents(List<StreamEvent> events) {
@@ -449,6 +449,12 @@
         fail(reason, false);
     }
 
+    /** Ends the attempt before the request is written, for no fault of the upstream in handling requests. */
+    void withdraw(String reason) {
+        end();
+        dispatcher.onOutcome(this, new AttemptOutcome.NotSent(reason, true));
+    }
+
     /** Records that the connection ended without an action of this gateway. */
     void onDisconnected(String reason) {
         fail(reason, true);
@@ -485,6 +491,6 @@
         if (!responseStarted) {
             upstream.onPrefillEnded(exchange.promptTokens());
         }
-        dispatcher.onSlotReleased();
+        dispatcher.onSlotReleased(upstream);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptOutcome.java
@@ -6,8 +6,17 @@
     /** Returns a description of the failure for the log. */
     String reason();
 
-    /** The request was never written to the upstream. */
-    record NotSent(String reason) implements AttemptOutcome {}
+    /**
+     * The request was never written to the upstream.
+     *
+     * @param withdrawn whether this gateway decided so, rather than the upstream being out of reach
+     */
+    record NotSent(String reason, boolean withdrawn) implements AttemptOutcome {
+
+        NotSent(String reason) {
+            this(reason, false);
+        }
+    }
 
     /**
      * The upstream reported that it did not run the request.
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/CrashProtection.java
@@ -42,6 +42,8 @@
     @Override
     public void onCrash(Upstream upstream, List<List<String>> prompts) {
         gateway.metrics().count("upstream_crashes");
+        gateway.engineGroups()
+                .onRankCrashed(upstream.entry().host(), gateway.clock().steadyMs());
         gateway.log()
                 .event("upstream crashed")
                 .field("upstream", upstream.entry().id())
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpRequest;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +16,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.gateway.enginegroup.EngineGroupMonitor;
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.RetryAfter;
@@ -44,9 +44,6 @@
      */
     private static final int FULL_RATE_PEERS = 6;
 
-    /** Interval at which subscriptions are renewed; agents drop one that is not renewed within three intervals. */
-    private static final long RENEWAL_MS = 1_000;
-
     /**
      * Maximum duration of one watch for configuration changes. The last confirmation that the configuration is current
      * is up to twice as old; readiness and denials need one that is at most some seconds old.
@@ -77,6 +74,7 @@
     private final PeerChannel peerChannel;
     private final PeerDirectory peerDirectory;
     private final ProcessMetrics metrics = new ProcessMetrics();
+    private final EngineGroupMonitor engineGroups;
     private final EventLoopMonitor eventLoopMonitor;
     private final QuarantineStore quarantineStore;
     private final UpstreamLimits upstreamLimits;
@@ -108,6 +106,7 @@
         metrics.expose("log_lines_suppressed", log::suppressedLines);
         metrics.expose("log_lines_dropped", log::droppedLines);
         this.memory = HeldMemory.ofProcess(metrics, log);
+        this.engineGroups = new EngineGroupMonitor(metrics, log);
         this.eventLoopMonitor = new EventLoopMonitor(metrics, log);
         this.shutdown = new GracefulShutdown(() -> this.settings.drainGraceMs(), log);
         this.storeView = new StoreView(log, clock, settings, this::onStoreViewChanged);
@@ -190,7 +189,8 @@
             quarantineStore.start();
             eventLoop.scheduleWithFixedDelay(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
             sendLoadsToPeers();
-            eventLoop.scheduleWithFixedDelay(this::subscribeToSlowdowns, RENEWAL_MS, RENEWAL_MS, TimeUnit.MILLISECONDS);
+            peerChannel.startSubscriptions(
+                    eventLoop, dispatchers.values(), settings.peerAddress().getPort());
             log.event("gateway started")
                     .field("name", settings.name())
                     .field("dataCentre", settings.dataCentre())
@@ -265,6 +265,10 @@
         return metrics;
     }
 
+    EngineGroupMonitor engineGroups() {
+        return engineGroups;
+    }
+
     void sendToPeers(CrashReport report) {
         peerChannel.send(report);
     }
@@ -302,14 +306,6 @@
         return new StatusServer.Status(ready, ready ? "ready\n" : "not ready\n");
     }
 
-    private void subscribeToSlowdowns() {
-        peerChannel.subscribe(dispatchers.values().stream()
-                .filter(ServiceDispatcher::engine)
-                .flatMap(dispatcher -> dispatcher.upstreams().stream())
-                .map(upstream -> new InetSocketAddress(
-                        upstream.entry().host(), settings.peerAddress().getPort())));
-    }
-
     private void onStoreViewChanged() {
         Map<String, List<UpstreamEntry>> byService = new HashMap<>();
         storeView
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OutcomeRecorder.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/OutcomeRecorder.java
@@ -20,8 +20,10 @@
         switch (outcome) {
             case AttemptOutcome.NotSent notSent -> {
                 exchange.onNotSent();
-                recordFailure(upstream, outcome, nowMs);
-                upstream.closeIdleConnections();
+                if (!notSent.withdrawn()) {
+                    recordFailure(upstream, outcome, nowMs);
+                    upstream.closeIdleConnections();
+                }
             }
             case AttemptOutcome.NotRun notRun -> {
                 if (notRun.replaced()) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
@@ -9,13 +9,17 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.kingcuproad.gateway.enginegroup.GroupReportCodec;
 import org.kingcuproad.gateway.rank.SlowdownNotifier;
+import org.kingcuproad.policy.enginegroup.GroupReport;
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
@@ -30,6 +34,9 @@
 
     private static final int FORMAT_VERSION = 1;
 
+    /** Interval at which subscriptions are renewed; agents drop one that is not renewed within three intervals. */
+    private static final long RENEWAL_MS = 1_000;
+
     /** Maximum size of a datagram; it must fit into one packet on common links. */
     private static final int MAX_BYTES = 1_400;
 
@@ -56,6 +63,13 @@
          */
         void onSlowdown(String host, double slowdown);
 
+        /**
+         * Receives the state of the group to which an engine belongs.
+         *
+         * @param host address of the engine's VM
+         */
+        void onGroupReport(String host, GroupReport report);
+
         void onCrashReport(CrashReport report);
 
         void onLimitReport(LimitReport report);
@@ -136,10 +150,19 @@
         message.release();
     }
 
-    /** Subscribes to the notices by which the agents next to engines report that their engine is slow. */
-    void subscribe(Stream<InetSocketAddress> agents) {
+    /** Subscribes to the notices by which the agents next to engines report slow engines and the state of groups. */
+    void startSubscriptions(EventLoop eventLoop, Collection<ServiceDispatcher> dispatchers, int agentPort) {
+        eventLoop.scheduleWithFixedDelay(
+                () -> subscribe(dispatchers, agentPort), RENEWAL_MS, RENEWAL_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void subscribe(Collection<ServiceDispatcher> dispatchers, int agentPort) {
         Channel open = channel;
         if (open != null && open.isActive()) {
+            Stream<InetSocketAddress> agents = dispatchers.stream()
+                    .filter(ServiceDispatcher::engine)
+                    .flatMap(dispatcher -> dispatcher.upstreams().stream())
+                    .map(upstream -> new InetSocketAddress(upstream.entry().host(), agentPort));
             agents.forEach(agent -> open.write(new DatagramPacket(SlowdownNotifier.subscription(), agent)));
             open.flush();
         }
@@ -157,6 +180,8 @@
             try {
                 switch (message.getUnsignedByte(message.readerIndex())) {
                     case CrashReportCodec.TYPE -> listener.onCrashReport(crashReportReader.read(message));
+                    case GroupReportCodec.TYPE ->
+                        listener.onGroupReport(packet.sender().getHostString(), GroupReportCodec.decode(message));
                     case LimitReportCodec.TYPE -> listener.onLimitReport(LimitReportCodec.decode(message));
                     case FORMAT_VERSION -> readLoads(message, packet.sender());
                     default -> {}
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
@@ -1,5 +1,7 @@
 package org.kingcuproad.gateway;
 
+import org.kingcuproad.policy.enginegroup.GroupReport;
+
 /** Passes reports of other gateways and of agents on to the parts of the gateway that use them. */
 final class PeerReportHandler implements PeerChannel.Listener {
 
@@ -17,6 +19,11 @@
                         upstream.setSlowdown(slowdown, gateway.clock().steadyMs(), gateway.log()));
     }
 
+    @Override
+    public void onGroupReport(String host, GroupReport report) {
+        gateway.engineGroups().onReport(host, report, gateway.clock().steadyMs());
+    }
+
     @Override
     public void onCrashReport(CrashReport report) {
         gateway.knownDispatcher(report.service())
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
@@ -6,7 +6,6 @@
 import org.kingcuproad.policy.gateway.QueueAdmissionDecision;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.RetryAfter;
-import org.kingcuproad.policy.gateway.ServiceStatistics;
 
 /** Refuses requests of one service that can't be served in time, and says when their clients may return. */
 final class RequestRefusals {
@@ -14,10 +13,10 @@
     private final Gateway gateway;
     private final RequestQueue<Exchange> queue;
     private final UpstreamPool upstreams;
-    private final ServiceStatistics statistics;
+    private final UpstreamStatistics statistics;
 
     RequestRefusals(
-            Gateway gateway, RequestQueue<Exchange> queue, UpstreamPool upstreams, ServiceStatistics statistics) {
+            Gateway gateway, RequestQueue<Exchange> queue, UpstreamPool upstreams, UpstreamStatistics statistics) {
         this.gateway = gateway;
         this.queue = queue;
         this.upstreams = upstreams;
@@ -31,11 +30,15 @@
             return;
         }
         QueueAdmissionDecision admission = QueueAdmissionDecision.of(
-                exchange.schedulingAttributes(), queue.size(), statistics, upstreams.acceptedPerSecond(), nowMs);
+                exchange.schedulingAttributes(),
+                queue.size(),
+                statistics.standing(nowMs),
+                upstreams.acceptedPerSecond(),
+                nowMs);
         if (admission.refused() && queue.remove(exchange)) {
             long retryAfterMs = RetryAfter.ofWait(
                     admission.expectedWaitMs(),
-                    statistics,
+                    statistics.standing(nowMs),
                     exchange.deadlineMs() - nowMs,
                     ThreadLocalRandom.current().nextDouble(),
                     nowMs);
@@ -65,7 +68,7 @@
                 upstreams.allBackingOffForMs(nowMs).orElse(0),
                 RetryAfter.of(
                         queue.size(),
-                        statistics,
+                        statistics.standing(nowMs),
                         exchange.deadlineMs() - nowMs,
                         ThreadLocalRandom.current().nextDouble(),
                         nowMs));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -18,7 +18,6 @@
 import org.kingcuproad.policy.gateway.RetryPolicy;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.ServiceConfiguration;
-import org.kingcuproad.policy.gateway.ServiceStatistics;
 import org.kingcuproad.policy.gateway.StreamAdmissionDecision;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
@@ -48,7 +47,7 @@
     private final WindowedRetryBudget budget;
     private final AttemptRetries retries;
     private final ResponseLog responses;
-    private final ServiceStatistics statistics = new ServiceStatistics();
+    private final UpstreamStatistics statistics;
     private final FramingHabit framingHabit = new FramingHabit();
     private final CrashProtection crashProtection;
     private final OutcomeRecorder outcomeRecorder;
@@ -60,6 +59,7 @@
     ServiceDispatcher(Gateway gateway, String service, WindowedRetryBudget budget) {
         this.gateway = gateway;
         this.selector = new UpstreamSelector(gateway);
+        this.statistics = new UpstreamStatistics(gateway, upstreams);
         this.refusals = new RequestRefusals(gateway, queue, upstreams, statistics);
         this.notices = new UpstreamNotices(gateway);
         this.crashProtection = new CrashProtection(gateway, service, () -> sweepCrashProtection(nowMs()));
@@ -108,7 +108,7 @@
         if (crashProtection.endIfQuarantined(exchange, nowMs)) {
             return;
         }
-        if (!gateway.shutdown().admits(exchange, statistics, nowMs)) {
+        if (!gateway.shutdown().admits(exchange, statistics.service(), nowMs)) {
             gateway.endForShutdown(exchange);
             return;
         }
@@ -118,7 +118,7 @@
         }
         double events = tokensPerEvent == 0 ? 0 : exchange.outputTokens() / tokensPerEvent;
         StreamAdmissionDecision streamAdmission =
-                StreamAdmissionDecision.of(events, statistics, exchange.deadlineMs() - nowMs, nowMs);
+                StreamAdmissionDecision.of(events, statistics.standing(nowMs), exchange.deadlineMs() - nowMs, nowMs);
         if (streamAdmission.refused()) {
             long retryAfterMs = RetryAfter.maxDelayMs(
                     exchange.deadlineMs() - nowMs, ThreadLocalRandom.current().nextDouble());
@@ -178,7 +178,7 @@
         try {
             long nowMs = nowMs();
             while (queue.size() > 0) {
-                Optional<Exchange> next = queue.poll(statistics.timeToFirstResponseMs(), nowMs);
+                Optional<Exchange> next = queue.poll(statistics.service().timeToFirstResponseMs(), nowMs);
                 if (next.isEmpty()) {
                     return;
                 }
@@ -234,9 +234,9 @@
             connection.close();
             return;
         }
-        if (!attempt.upstream().usable()) {
+        if (!selector.mayWrite(attempt.upstream(), nowMs())) {
             connection.close();
-            attempt.onFailure("the upstream is leaving");
+            attempt.withdraw("the upstream is leaving or its group has stopped");
             return;
         }
         long remainingMs = exchange.deadlineMs() - nowMs();
@@ -251,15 +251,15 @@
         long nowMs = nowMs();
         double responseMs = nowMs - attempt.sentMs();
         attempt.upstream().health().onSuccess(responseMs);
-        statistics.onResponseStarted(responseMs, nowMs);
+        statistics.onResponseStarted(attempt.upstream(), responseMs, nowMs);
     }
 
-    void onEventInterval(double intervalMs) {
-        statistics.onEventInterval(intervalMs);
+    void onEventInterval(Upstream upstream, double intervalMs) {
+        statistics.onEventInterval(upstream, intervalMs);
     }
 
-    void onEvent(long eventMs) {
-        statistics.onEvent(eventMs);
+    void onEvent(Upstream upstream, long eventMs) {
+        statistics.onEvent(upstream, eventMs);
     }
 
     /** Records what the head of a response says about the requests that its upstream accepts. */
@@ -272,8 +272,8 @@
         return responses;
     }
 
-    void onSlotReleased() {
-        statistics.onSlotReleased(nowMs());
+    void onSlotReleased(Upstream upstream) {
+        statistics.onSlotReleased(upstream, nowMs());
         gateway.execute(this::dispatch);
     }
 
@@ -313,7 +313,7 @@
     }
 
     private void recordDuration(Exchange exchange) {
-        statistics.onCompleted(exchange.route().kind(), nowMs() - exchange.arrivedMs());
+        statistics.service().onCompleted(exchange.route().kind(), nowMs() - exchange.arrivedMs());
     }
 
     void onStreamEnd(Attempt attempt) {
@@ -429,8 +429,8 @@
     /** Checks queued requests and attempts in progress against their deadlines. */
     void sweep(long nowMs) {
         sweepCrashProtection(nowMs);
-        queue.removeMatching(
-                        exchange -> !exchange.headSent() && !gateway.shutdown().admits(exchange, statistics, nowMs))
+        queue.removeMatching(exchange ->
+                        !exchange.headSent() && !gateway.shutdown().admits(exchange, statistics.service(), nowMs))
                 .forEach(gateway::endForShutdown);
         queue.removeMatching(exchange -> !exchange.mayHaveRun() && refusals.returnsTooLate(exchange, nowMs))
                 .forEach(refusals::endUnservable);
@@ -465,7 +465,7 @@
                 gateway.endWithProblem(exchange, ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline", -1);
             }
         } else if (attempt.replaceable()
-                && RetryPolicy.isStalled(exchange.route(), attempt.progress(), statistics, nowMs)
+                && RetryPolicy.isStalled(exchange.route(), attempt.progress(), statistics.service(), nowMs)
                 && RetryPolicy.mayRetry(exchange.route(), exchange.sends(), true, exchange.deadlineMs() - nowMs)
                 && selector.select(upstreams.list(), exchange, engine, nowMs).isPresent()
                 && budget.tryAcquire(nowMs)) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamNotices.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamNotices.java
@@ -33,6 +33,9 @@
                     .write();
         }
         if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            if (headers.contains(names.notExecuted()) && !headers.contains(HttpHeaderNames.RETRY_AFTER)) {
+                gateway.engineGroups().onRejected(upstream.entry().host(), nowMs);
+            }
             RetryAfterHeader.parse(
                             headers.get(HttpHeaderNames.RETRY_AFTER),
                             gateway.clock().wallMs())
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -1,7 +1,9 @@
 package org.kingcuproad.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
+import org.kingcuproad.policy.enginegroup.GroupStanding;
 import org.kingcuproad.policy.gateway.LeastCostSelector;
 import org.kingcuproad.policy.gateway.UpstreamAvailability;
 import org.kingcuproad.policy.gateway.UpstreamCandidate;
@@ -30,21 +32,39 @@
         return LeastCostSelector.select(candidates, engine, rotation++);
     }
 
+    /** Returns whether a request for which a connection has been opened may still be sent on it. */
+    boolean mayWrite(Upstream upstream, long nowMs) {
+        return upstream.usable() && takesRequests(group(upstream, nowMs));
+    }
+
+    private Optional<GroupStanding> group(Upstream upstream, long nowMs) {
+        return gateway.engineGroups().standing(upstream.entry().host(), nowMs);
+    }
+
+    private static boolean takesRequests(Optional<GroupStanding> group) {
+        return group.map(GroupStanding::takesRequests).orElse(true);
+    }
+
     private UpstreamCandidate candidate(Upstream upstream, Exchange exchange, double limitShare, long nowMs) {
         boolean available = switch (upstream.availability(limitShare, nowMs)) {
             case UpstreamAvailability.Available yes -> true;
             case UpstreamAvailability.Unavailable no -> false;
         };
-        boolean admitted = available && exchange.admits(upstream.entry().id());
+        Optional<GroupStanding> group = group(upstream, nowMs);
+        boolean admitted = available
+                && takesRequests(group)
+                && exchange.admits(upstream.entry().id());
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
+        int limit = gateway.peerLoads().limit(upstream.entry().slots(), upstream.inFlight(), peers, nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
-                gateway.peerLoads().limit(upstream.entry().slots(), upstream.inFlight(), peers, nowMs),
+                group.map(standing -> standing.rampedLimit(limit)).orElse(limit),
                 upstream.pendingPrefillTokens() + peers.pendingPrefillTokens(),
                 upstream.health().latencyMs(),
                 upstream.health().failureRate(),
                 upstream.slowdownAt(nowMs),
                 upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
-                admitted);
+                admitted,
+                group);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -227,7 +227,7 @@
         RankState current = report.state(clock.steadyMs()).orElseThrow();
         state = current;
         slowdown = report.slowdown();
-        slowdownNotifier.send(slowdown, clock.steadyMs());
+        slowdownNotifier.onReport(report, agentsByRank.values(), changeInProgress(), clock.steadyMs());
         if (expertReader.heldExperts(current).isEmpty()) {
             expertReader.readHeldExperts(current.epoch(), () -> onHeldExperts(current));
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/SlowdownNotifier.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/SlowdownNotifier.java
@@ -3,12 +3,17 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import org.kingcuproad.gateway.enginegroup.GroupReportCodec;
+import org.kingcuproad.policy.enginegroup.GroupReport;
+import org.kingcuproad.policy.enginegroup.GroupReportSchedule;
 
 /**
- * Notifies subscribed gateways of an engine's slowdown.
+ * Notifies subscribed gateways of an engine's slowdown and of the state of its group.
  *
  * <p>The ranks of a group finish every pass together, so callers can't see which rank is slow; only its engine knows. A
  * gateway subscribes by datagram. It receives notices while the engine is slow, and one when the engine has recovered.
@@ -36,6 +41,8 @@
     private final Map<InetSocketAddress, Long> subscriptionTimesMs = new HashMap<>();
     private boolean lastNoticeSlow;
     private long lastNoticeMs;
+    private final GroupReportSchedule groupSchedule = new GroupReportSchedule();
+    private final GroupPassDuration passDuration = new GroupPassDuration();
 
     SlowdownNotifier(BiConsumer<ByteBuf, InetSocketAddress> output) {
         this.output = output;
@@ -87,10 +94,31 @@
         }
         lastNoticeSlow = slow;
         lastNoticeMs = nowMs;
+        sendToSubscribers(() -> Unpooled.buffer().writeByte(NOTICE).writeDouble(slow ? slowdown : 1), nowMs);
+    }
+
+    /** Notifies the subscribers of what is new in a report of the engine; {@code others} are agents of its group. */
+    void onReport(EngineReport report, Collection<InetSocketAddress> others, boolean copying, long nowMs) {
+        send(report.slowdown(), nowMs);
+        report.membership().ifPresent(membership -> {
+            passDuration.onReport(membership.epoch(), report.step(), nowMs);
+            GroupReport groupReport = new GroupReport(
+                    membership.group(),
+                    membership.epoch(),
+                    membership.rank(),
+                    membership.ranks(),
+                    membership.operational(),
+                    copying,
+                    passDuration.passMs(nowMs),
+                    others.stream().map(InetSocketAddress::getHostString).toList());
+            if (groupSchedule.due(groupReport, nowMs)) {
+                sendToSubscribers(() -> GroupReportCodec.encode(groupReport), nowMs);
+            }
+        });
+    }
+
+    private void sendToSubscribers(Supplier<ByteBuf> notice, long nowMs) {
         subscriptionTimesMs.values().removeIf(subscribedMs -> nowMs - subscribedMs > SUBSCRIPTION_EXPIRY_MS);
-        subscriptionTimesMs
-                .keySet()
-                .forEach(gateway ->
-                        output.accept(Unpooled.buffer().writeByte(NOTICE).writeDouble(slow ? slowdown : 1), gateway));
+        subscriptionTimesMs.keySet().forEach(gateway -> output.accept(notice.get(), gateway));
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/LeastCostSelector.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/LeastCostSelector.java
@@ -4,13 +4,15 @@
 import java.util.List;
 import java.util.OptionalInt;
 import java.util.stream.IntStream;
+import org.kingcuproad.policy.enginegroup.GroupChoice;
 
 /**
  * Selects the upstream with the least expected cost for a request.
  *
  * <p>For services other than model engines the cost is the expected wait: the number of requests in progress times the
  * mean latency, increased by recent failures. For model engines in lock-step every forward pass takes as long as the
- * slowest rank needs, so the cost spreads pending prompt tokens evenly first and running requests second.
+ * slowest rank needs, so the cost spreads pending prompt tokens evenly first and running requests second. Where the
+ * groups of the engines are known, the group is chosen first (see {@link GroupChoice}).
  */
 public final class LeastCostSelector {
 
@@ -55,9 +57,15 @@
      */
     public static OptionalInt select(List<UpstreamCandidate> candidates, boolean engine, int startIndex) {
         int size = candidates.size();
+        List<Boolean> inChosenGroup = engine
+                ? GroupChoice.choose(candidates.stream()
+                        .map(candidate -> candidate.groupMember(load(candidate) - dataCentreBonus(candidate)))
+                        .toList())
+                : candidates.stream().map(candidate -> true).toList();
         return IntStream.range(0, size)
                 .map(index -> Math.floorMod(index + startIndex, size))
-                .filter(index -> candidates.get(index).hasCapacity())
+                .filter(index ->
+                        inChosenGroup.get(index) && candidates.get(index).hasCapacity())
                 .boxed()
                 .min(Comparator.comparingDouble(
                         index -> engine ? engineCost(candidates.get(index)) : nonEngineCost(candidates.get(index))))
@@ -65,17 +73,24 @@
                 .orElse(OptionalInt.empty());
     }
 
+    private static double load(UpstreamCandidate candidate) {
+        return candidate.inFlight() + candidate.pendingPrefillTokens() / PREFILL_TOKENS_PER_REQUEST;
+    }
+
     private static double engineCost(UpstreamCandidate candidate) {
-        return candidate.inFlight()
-                + candidate.pendingPrefillTokens() / PREFILL_TOKENS_PER_REQUEST
+        return load(candidate)
                 + FAILURE_PENALTY * candidate.failureRate()
                 + SLOWDOWN_PENALTY * (candidate.slowdown() - 1)
-                - (candidate.sameDataCentre() ? SAME_DATA_CENTRE_BONUS : 0);
+                - dataCentreBonus(candidate);
+    }
+
+    private static double dataCentreBonus(UpstreamCandidate candidate) {
+        return candidate.sameDataCentre() ? SAME_DATA_CENTRE_BONUS : 0;
     }
 
     private static double nonEngineCost(UpstreamCandidate candidate) {
         double latencyMs = Math.max(DEFAULT_LATENCY_MS, candidate.latencyMs());
-        return (candidate.inFlight() + 1 - (candidate.sameDataCentre() ? SAME_DATA_CENTRE_BONUS : 0))
+        return (candidate.inFlight() + 1 - dataCentreBonus(candidate))
                 * latencyMs
                 * (1 + FAILURE_PENALTY * candidate.failureRate());
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServiceStatistics.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ServiceStatistics.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.policy.gateway;
 
 import java.util.EnumMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 
@@ -45,6 +46,40 @@
     private long lastResponseMs = Long.MIN_VALUE;
     private long lastEventMs = Long.MIN_VALUE;
 
+    /**
+     * Returns statistics of the whole service that describe what some of its groups of engines can do. The shortest
+     * times of a group count, because a request is sent to one that can serve it, and the slots of all groups become
+     * free side by side.
+     *
+     * @param groups statistics of the groups, at least one
+     * @return a copy, which is not updated any more
+     */
+    ServiceStatistics restrictedTo(List<ServiceStatistics> groups) {
+        ServiceStatistics restricted = new ServiceStatistics();
+        restricted.durations.putAll(durations);
+        restricted.lastReleaseMs = lastReleaseMs;
+        restricted.lastResponseMs = lastResponseMs;
+        restricted.lastEventMs = lastEventMs;
+        restricted.timeToFirstResponseMs = groups.stream()
+                .mapToDouble(group -> group.timeToFirstResponseMs)
+                .filter(responseMs -> responseMs > 0)
+                .min()
+                .orElse(timeToFirstResponseMs);
+        restricted.meanEventIntervalMs = groups.stream()
+                .mapToDouble(group -> group.meanEventIntervalMs)
+                .min()
+                .orElse(meanEventIntervalMs);
+        // A group without releases since it opened is assumed to release slots as often as the others do.
+        double meanReleasesPerMs = groups.stream()
+                .filter(group -> group.meanReleaseIntervalMs > 0)
+                .mapToDouble(group -> 1 / group.meanReleaseIntervalMs)
+                .average()
+                .orElse(0);
+        restricted.meanReleaseIntervalMs =
+                meanReleasesPerMs > 0 ? 1 / (meanReleasesPerMs * groups.size()) : meanReleaseIntervalMs;
+        return restricted;
+    }
+
     /**
      * Records the first part of a response.
      *
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/LeastCostSelectorTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/LeastCostSelectorTest.java
@@ -2,7 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -55,4 +59,43 @@
         assertThat(LeastCostSelector.select(equal, true, 0)).hasValue(0);
         assertThat(LeastCostSelector.select(equal, true, 1)).hasValue(1);
     }
+
+    /** The cost by which engines were selected before groups were known. */
+    private static double costWithoutGroups(UpstreamCandidate candidate) {
+        return candidate.inFlight()
+                + candidate.pendingPrefillTokens() / 256
+                + 8 * candidate.failureRate()
+                + 8 * (candidate.slowdown() - 1)
+                - (candidate.sameDataCentre() ? 0.2 : 0);
+    }
+
+    @Test
+    void selectsAsBeforeWhileGroupsAreUnknown() {
+        Random random = new Random(5);
+        for (int round = 0; round < 2_000; round++) {
+            List<UpstreamCandidate> candidates = random.ints(1 + random.nextInt(20), 0, 9)
+                    .mapToObj(inFlight -> new UpstreamCandidate(
+                            inFlight,
+                            7,
+                            random.nextInt(4) * 870,
+                            random.nextInt(90),
+                            random.nextInt(3) / 4.0,
+                            1 + random.nextInt(2) * 0.5,
+                            random.nextBoolean(),
+                            random.nextInt(5) > 0))
+                    .toList();
+            int start = random.nextInt(40);
+            OptionalInt expected = IntStream.range(0, candidates.size())
+                    .map(index -> (index + start) % candidates.size())
+                    .filter(index -> candidates.get(index).hasCapacity())
+                    .boxed()
+                    .min(Comparator.comparingDouble(index -> costWithoutGroups(candidates.get(index))))
+                    .map(OptionalInt::of)
+                    .orElse(OptionalInt.empty());
+
+            assertThat(LeastCostSelector.select(candidates, true, start))
+                    .as("round %d", round)
+                    .isEqualTo(expected);
+        }
+    }
 }
