Hold a pass as far ahead as arming takes

A pass was held four passes ahead, which took 800 ms while passes took 200 ms. The lead now follows from the time that arming all ranks took in earlier changes and from the duration of a pass, at least two passes and at most MAX_HOLD_LEAD_PASSES. A failed arming lengthens it.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -151,6 +151,7 @@
         lastReportMs.put(state.rank(), state.reportedMs());
         if (state.rank() == 0) {
             passDuration.onStep(state.step(), state.reportedMs());
+            protocol.onPassDuration(passDuration.passMs());
         }
     }
 
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/rank/MapCoordinatorTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/rank/MapCoordinatorTest.java
@@ -36,9 +36,11 @@
         coordinator.onState(state(1, step, nowMs), 1);
     }
 
-    /** Both popular experts are on rank 0. */
+    /** Both popular experts are on rank 0. Both ranks send a sample, since one alone does not show its accuracy. */
     private void chooseUnevenly(long nowMs) {
-        coordinator.onChoices(new ChoiceSample(4, 14, 8, new byte[] {100, 0, 100, 0}), nowMs);
+        for (int rank = 0; rank < 2; rank++) {
+            coordinator.onChoices(new ChoiceSample(4, 14, 8, new byte[] {100, 0, 100, 0}), nowMs);
+        }
     }
 
     private void coordinate(long step, long nowMs) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/MapSwitchProtocol.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/MapSwitchProtocol.java
@@ -49,12 +49,6 @@
      */
     private static final long HOLD_TIMEOUT_MS = 110;
 
-    /**
-     * Number of passes from the last one begun to the one to be held. All ranks can be armed in that time even if some
-     * orders are lost, so the group seldom stalls.
-     */
-    private static final long HOLD_LEAD_PASSES = 4;
-
     /**
      * Maximum number of passes ahead of the last one begun at which a pass is held. A release order may take effect
      * seconds late, so no pass is held twice: a restarted coordinator waits until all passes that its predecessor can
@@ -92,6 +86,7 @@
 
     private final int ranks;
     private final int ownRank;
+    private final HoldLead holdLead = new HoldLead(MAX_HOLD_LEAD_PASSES);
     private final TreeMap<Integer, RankState> states = new TreeMap<>();
     private Phase phase = Phase.IDLE;
     private long phaseStartedMs;
@@ -132,6 +127,15 @@
         }
     }
 
+    /**
+     * Records the duration of the group's passes, from which follows how many passes ahead a pass is held.
+     *
+     * @param passMs duration in milliseconds, or 0 if it is unknown
+     */
+    public void onPassDuration(double passMs) {
+        holdLead.onPassDuration(passMs);
+    }
+
     /**
      * Returns the last recorded state of a rank.
      *
@@ -348,7 +352,7 @@
             enterPhase(Phase.IDLE, nowMs);
             return List.of();
         }
-        requestedHoldStep = Math.max(requestedHoldStep + 1, own.step() + HOLD_LEAD_PASSES);
+        requestedHoldStep = Math.max(requestedHoldStep + 1, own.step() + holdLead.passes());
         if (requestedHoldStep > own.step() + MAX_HOLD_LEAD_PASSES) {
             requestedHoldStep--;
             enterPhase(Phase.IDLE, nowMs);
@@ -361,9 +365,11 @@
     private List<SwitchAction> actionsWhenArming(Optional<ExpertPlacement> currentMap, int random, long nowMs) {
         if (allRanks(nowMs, state -> state.armedVersion() == targetVersion)) {
             armStateUnknown = false;
+            holdLead.onArmed(nowMs - holdOrderedMs);
             return startReleasing(nowMs);
         }
         if (nowMs - phaseStartedMs > ARM_TIMEOUT_MS) {
+            holdLead.onArmed(nowMs - holdOrderedMs);
             return startClearing(currentMap, random, nowMs);
         }
         return List.of(new SwitchAction.SetDesiredState(new DesiredRankState.Armed(targetVersion, heldStep)));
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/MapSwitchProtocolTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/MapSwitchProtocolTest.java
@@ -26,6 +26,8 @@
      */
     private static final long FAULT_FREE_END_MS = 20_000;
 
+    private static final double[] KNOWN_PASS_MS = {0, 400, 20};
+
     private static final long RECOVERY_DELAY_MS = 300;
     private static final long SILENCE_THRESHOLD_MS = 150;
     private static final long ORDER_TIMEOUT_MS = 25;
@@ -44,6 +46,7 @@
         private final FakeGroup group;
         private final Random random;
         private final boolean freezeOnHold;
+        private final double knownPassMs;
         private final MapSwitchProtocol[] protocols = {new MapSwitchProtocol(RANKS, 0), new MapSwitchProtocol(RANKS, 1)
         };
         private final long[] stoppedUntilMs = new long[RANKS];
@@ -54,10 +57,11 @@
         private final List<ExpertPlacement> maps = new ArrayList<>(List.of(map(0)));
         private long lastBeginMs;
 
-        private Agents(FakeGroup group, Random random, boolean freezeOnHold) {
+        private Agents(FakeGroup group, Random random, boolean freezeOnHold, double knownPassMs) {
             this.group = group;
             this.random = random;
             this.freezeOnHold = freezeOnHold;
+            this.knownPassMs = knownPassMs;
         }
 
         private void stop(int rank, boolean freeze, boolean restart, long untilMs) {
@@ -97,6 +101,7 @@
 
         private void runProtocol(int own, boolean mayBegin, long nowMs) {
             MapSwitchProtocol protocol = protocols[own];
+            protocol.onPassDuration(knownPassMs);
             for (int rank = 0; rank < RANKS; rank++) {
                 boolean silent =
                         lastReported[rank] == null || nowMs - lastReported[rank].reportedMs() > SILENCE_THRESHOLD_MS;
@@ -174,7 +179,8 @@
     private static FakeGroup simulate(long seed, FaultProfile faults) {
         Random random = new Random(seed);
         FakeGroup group = new FakeGroup(RANKS, faults.lossProbability, random);
-        Agents agents = new Agents(group, random, faults.freezeOnHold);
+        // The lead of the held pass is the default in one of three runs, short in one and long in one.
+        Agents agents = new Agents(group, random, faults.freezeOnHold, KNOWN_PASS_MS[(int) (seed % 3)]);
         for (long nowMs = 0; nowMs < RUN_MS; nowMs += TICK_MS) {
             boolean faultFree = nowMs > RUN_MS - FAULT_FREE_END_MS;
             if (!faultFree && random.nextDouble() < faults.stopProbability) {
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/SimulatedPlacement.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/SimulatedPlacement.java
@@ -20,6 +20,9 @@
     /** Time from a switch until rank 0 knows the experts that the ranks hold. */
     private static final long HELD_EXPERTS_MS = 80;
 
+    /** Three rounds of orders and reports. */
+    private static final double ARMING_MS = 150;
+
     private static final long DETECTION_INTERVAL_MS = 50;
     private static final double INITIAL_SWITCH_MS = 350;
     private static final double SWITCH_WEIGHT = 0.3;
@@ -39,6 +42,7 @@
     private final double requestsPerS;
     private final Timing timing;
     private final DemandEstimator estimator;
+    private final HoldLead holdLead = new HoldLead(8);
     private final double[] even;
     private ExpertPlacement current;
     private ExpertPlacement next;
@@ -72,6 +76,7 @@
         this.next = current;
         this.even = new double[ranks];
         Arrays.fill(even, 1);
+        holdLead.onPassDuration(timing.passMs());
         updateLoads();
     }
 
@@ -145,7 +150,8 @@
         if (current == next && nowMs >= knownAtMs && estimator.recentTotal() > 0) {
             plan();
         } else if (current != next && switchStep == 0 && nowMs >= copyingUntilMs + PREPARED_REPORT_MS) {
-            switchStep = step + 4;
+            switchStep = step + holdLead.passes();
+            holdLead.onArmed(ARMING_MS);
         }
     }
 
