Learn the lifetime of a pattern from the first shifts

The expected lifetime was the time observed so far, divided by the number of shifts, and fell slowly: after six seconds of steady demand the first plans copied too much. It is now the mean of the times between shifts, with the assumed four seconds counting as half a time; it grows again when shifts cease.

--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/DemandEstimator.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/DemandEstimator.java
@@ -44,6 +44,9 @@
     /** Length of a pattern that is assumed before any was seen. */
     private static final long ASSUMED_LIFETIME_MS = 4_000;
 
+    /** Weight of that length, compared with a time between two shifts. */
+    private static final double ASSUMED_WEIGHT = 0.5;
+
     private final GroupShape shape;
     private final ExpertLoads recent;
     private ExpertLoads sinceShift;
@@ -152,8 +155,10 @@
     }
 
     /**
-     * Returns how long the pattern is expected to last from now on: the mean time between the shifts seen so far, which
-     * is the best guess if shifts come at any time.
+     * Returns how long the pattern is expected to last from now on: the mean of the last times between shifts, which is
+     * the best guess if shifts come at any time. An assumed time counts as half a measured one, so that the first two
+     * shifts decide; the time since the last shift counts if it exceeds the mean, so that the estimate grows when
+     * shifts have ceased.
      *
      * @param nowMs current time, in milliseconds
      * @return the time in milliseconds
@@ -162,7 +167,13 @@
         while (!shiftsMs.isEmpty() && nowMs - shiftsMs.peekFirst() > SHIFT_PERIOD_MS) {
             shiftsMs.removeFirst();
         }
-        long observedMs = firstSampleMs == Long.MIN_VALUE ? 0 : Math.min(SHIFT_PERIOD_MS, nowMs - firstSampleMs);
-        return (observedMs + ASSUMED_LIFETIME_MS) / (shiftsMs.size() + 1);
+        if (shiftsMs.isEmpty()) {
+            long observedMs = firstSampleMs == Long.MIN_VALUE ? 0 : Math.min(SHIFT_PERIOD_MS, nowMs - firstSampleMs);
+            return observedMs + ASSUMED_LIFETIME_MS;
+        }
+        int intervals = shiftsMs.size() - 1;
+        double weight = intervals + ASSUMED_WEIGHT;
+        double sumMs = shiftsMs.getLast() - shiftsMs.getFirst() + ASSUMED_WEIGHT * ASSUMED_LIFETIME_MS;
+        return Math.round(Math.max(sumMs / weight, (sumMs + nowMs - shiftsMs.getLast()) / (weight + 1)));
     }
 }
