--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -462,6 +462,7 @@
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
         upstreamLimits.report(nowMs);
+        engineGroups.logChanges("time", nowMs);
         memory.admitBodies(nowMs);
         connections.list().forEach(connection -> connection.sweep(nowMs));
         boolean ready = ready();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/enginegroup/EngineGroup.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/enginegroup/EngineGroup.java
@@ -61,7 +61,8 @@
         if (!open && outdated) {
             return;
         }
-        if (!open && !first) {
+        boolean formedAgain = report.epoch() > epoch;
+        if (!first && (!open || formedAgain)) {
             openedMs = nowMs;
         }
         epoch = report.epoch();
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/enginegroup/EngineGroupsTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/enginegroup/EngineGroupsTest.java
@@ -48,6 +48,13 @@
         assertThat(status(2_450)).isEqualTo(GroupStanding.Status.OPEN);
     }
 
+    @Test
+    void rampsUpGroupWhoseStopWasNotReported() {
+        assertThat(status(10)).isEqualTo(GroupStanding.Status.OPEN);
+        report(0, 5, true, 700);
+        assertThat(status(710)).isEqualTo(GroupStanding.Status.RAMPING);
+    }
+
     @Test
     void opensInSameEpochIfTheSignsWereWrong() {
         groups.onRankCrashed("10.0.0.2", 100);
