--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
@@ -66,7 +66,11 @@
             return;
         }
         QueueAdmissionDecision admission = QueueAdmissionDecision.of(
-                exchange.schedulingAttributes(), queue.size(), statistics.standing(nowMs), upstreams.acceptedPerSecond(), nowMs);
+                exchange.schedulingAttributes(),
+                queue.size(),
+                statistics.standing(nowMs),
+                upstreams.acceptedPerSecond(),
+                nowMs);
         if (admission.refused()) {
             refuseForWait(exchange, admission.expectedWaitMs(), nowMs);
         }
