Update only the search with the highest bound, and detect shifts as samples arrive

Each copy that used up a rank's budget caused all sets whose next adjustment went to that rank to be searched again.

Rank 0 looked for a shift with its own reports, every 100 ms; it now does so when samples arrive, at most every 50 ms, as in the virtual-time test.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/MapCoordinator.java
@@ -281,13 +281,18 @@
         return Optional.ofNullable(cachedPlacement);
     }
 
+    /** Tells whether samples that have arrived should be checked for a shift before the next report is due. */
+    boolean detectionDue(long nowMs) {
+        return ownRank == 0 && nowMs >= nextDetectionMs;
+    }
+
     /** Looks for a shift, also while a plan or a change is in progress; a plan for the old pattern is given up. */
     private void detectShift(long nowMs) {
-        if (ownRank != 0 || nowMs < nextDetectionMs || demand.recentTotal() < MIN_CHOICES) {
+        if (!detectionDue(nowMs)) {
             return;
         }
         nextDetectionMs = nowMs + DETECTION_INTERVAL_MS;
-        if (demand.detectShift(nowMs)) {
+        if (demand.recentTotal() >= MIN_CHOICES && demand.detectShift(nowMs)) {
             planner = null;
             nextPlanMs = nowMs;
             metrics.count("demand_shifted");
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/rank/RankAgent.java
@@ -308,10 +308,7 @@
             coordinationScheduled = true;
             eventLoop.execute(() -> {
                 coordinationScheduled = false;
-                MapCoordinator mapCoordinator = coordinator;
-                if (mapCoordinator != null) {
-                    coordinate(mapCoordinator);
-                }
+                Optional.ofNullable(coordinator).ifPresent(this::coordinate);
             });
         }
     }
@@ -487,6 +484,9 @@
                     sampleRelay.collect(choices.sample());
                 } else if (mapCoordinator != null) {
                     mapCoordinator.onChoices(choices.sample(), clock.steadyMs());
+                    if (mapCoordinator.detectionDue(clock.steadyMs())) {
+                        coordinateSoon();
+                    }
                 }
             }
             case RankMessage.Forwarded received ->
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/MapChangePlanner.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/MapChangePlanner.java
@@ -130,13 +130,11 @@
             }
             searches = startSearches();
         }
-        Optional<SetSearch> outdated =
-                searches.stream().filter(SetSearch::outdated).findFirst();
-        if (outdated.isPresent()) {
-            outdated.get().update();
+        SetSearch next = Collections.max(searches, Comparator.comparingDouble(SetSearch::gainPerCopy));
+        if (next.outdated()) {
+            next.update();
             return Optional.empty();
         }
-        SetSearch next = Collections.max(searches, Comparator.comparingDouble(SetSearch::gainPerCopy));
         if (next.gainPerCopy() > 0) {
             next.advance();
             searches.forEach(search -> search.onBudgetUsed(budget));
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/SetSearch.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/SetSearch.java
@@ -31,7 +31,7 @@
         this.minGainPerCopy = minGainPerCopy;
         this.initialMaxLoad = planner.maxLoad();
         this.best = planner.currentAssignment();
-        this.outdated = initialMaxLoad > targetMaxLoad;
+        expectAdjustment();
     }
 
     /** Tells whether the next adjustment has to be looked for. */
@@ -47,20 +47,29 @@
         nextGainPerCopy = found == null ? 0 : planner.gainPerCopy(found);
     }
 
-    /** Returns the gain of the next adjustment for each copy, 0 if there is none that is worth its copies. */
+    /**
+     * Returns the gain of the next adjustment for each copy, 0 if there is none that is worth its copies. While the
+     * adjustment is outdated, this is an upper bound, so only the search with the highest one needs to be updated.
+     */
     double gainPerCopy() {
         return nextGainPerCopy < minGainPerCopy ? 0 : nextGainPerCopy;
     }
 
     /** Requires a new search if the budget of a rank has been raised. */
     void onBudgetRaised() {
+        expectAdjustment();
+    }
+
+    private void expectAdjustment() {
         outdated = planner.maxLoad() > targetMaxLoad;
+        nextGainPerCopy = outdated ? Double.MAX_VALUE : 0;
     }
 
     /** Requires a new search if the next adjustment needs copies of a rank that may make no more. */
     void onBudgetUsed(CopyBudget budget) {
         ReplicaPlanner.Adjustment adjustment = next;
         outdated |= adjustment != null
+                && nextGainPerCopy >= minGainPerCopy
                 && (budget.remaining(adjustment.to()) <= 0
                         || (adjustment.isSwap() && budget.remaining(adjustment.from()) <= 0));
     }
@@ -73,8 +82,7 @@
         }
         planner.apply(adjustment);
         next = null;
-        nextGainPerCopy = 0;
-        outdated = planner.maxLoad() > targetMaxLoad;
+        expectAdjustment();
         double netGain =
                 initialMaxLoad - Math.max(targetMaxLoad, planner.maxLoad()) - minGainPerCopy * planner.countCopies();
         if (netGain > bestNetGain) {
