--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/GatewayFixture.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -99,6 +100,9 @@
     private OutputStream logOutput = OutputStream.nullOutputStream();
 
     /** A route besides those of each fixture. */
+    private final Map<String, KeyOwner> keyOwners =
+            new HashMap<>(Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
+
     private record AddedRoute(String name, RouteKind kind, String service) {}
 
     GatewayFixture() throws IOException {
@@ -212,6 +216,11 @@
         addedRoutes.add(new AddedRoute(name, kind, service));
     }
 
+    /** Adds a workspace with a key and a priority of its own. */
+    void addWorkspace(String key, String name, int priority) {
+        keyOwners.put(key, new KeyOwner(name, OptionalInt.of(priority)));
+    }
+
     /** Registers an upstream of a second service, whose route is {@code /STEADY/}. */
     void addSteadyEntry(int upstreamPort) {
         entries.add(new UpstreamEntry(STEADY, STEADY, "127.0.0.1", upstreamPort, "dc", 4, false, 0));
@@ -320,7 +329,7 @@
                                         name, 10, engines && !name.equals(STEADY), 0, Optional.empty(), 120))),
                 new ClientLimits(maxHeaderBytes, maxBodyBytes, headerTimeoutMs, idleTimeoutMs),
                 KeyRequirement.ALWAYS,
-                Map.of("k1", new KeyOwner("office", OptionalInt.empty())));
+                Map.copyOf(keyOwners));
     }
 
     Gateway create() throws Exception {
