--- a/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/lockstep/ScarcityLoad.java
+++ b/kingcuproad-experiment/src/main/java/org/kingcuproad/experiment/lockstep/ScarcityLoad.java
@@ -12,7 +12,7 @@
     /** Four times as many requests of the least urgent kind for five seconds, twice, beside steady urgent ones. */
     LEAST_URGENT_BURST,
 
-    /** One and a half times as many requests of all kinds as the group can serve. */
+    /** One and a half times as many requests of all kinds as the group serves on time. */
     ALL_KINDS,
 
     /** One of five workspaces sends four in five requests. */
@@ -21,7 +21,7 @@
     /** A third of the engines accept no more requests. */
     CAPACITY_LOSS,
 
-    /** Requests with ten times the prompt arrive now and then, at full load. */
+    /** Requests with ten times the prompt arrive now and then, above the capacity. */
     LARGE_REQUESTS,
 
     /** One and a half times the capacity in requests of a single priority. */
@@ -63,15 +63,15 @@
         return switch (this) {
             case CALM -> load(mix("a", 0.9 * CAPACITY));
             case LEAST_URGENT_BURST ->
-                load(Stream.concat(mix("a", 0.95 * CAPACITY), Stream.of(burst(6_000), burst(20_000))));
+                load(Stream.concat(mix("a", 1.2 * CAPACITY), Stream.of(burst(6_000), burst(20_000))));
             case ALL_KINDS -> load(mix("a", 1.5 * CAPACITY));
             case ONE_WORKSPACE ->
                 load(Stream.concat(
                         mix("a", 1.2 * CAPACITY),
                         List.of("b", "c", "d", "e").stream().flatMap(name -> mix(name, 0.075 * CAPACITY))));
-            case CAPACITY_LOSS -> new SimulatedLoad(mix("a", 0.95 * CAPACITY).toList(), SECONDS, LOSS_MS, 8);
+            case CAPACITY_LOSS -> new SimulatedLoad(mix("a", 1.2 * CAPACITY).toList(), SECONDS, LOSS_MS, 8);
             case LARGE_REQUESTS ->
-                load(Stream.concat(mix("a", 0.95 * CAPACITY), Stream.of(steady(HUGE, "a", 0.03 * CAPACITY))));
+                load(Stream.concat(mix("a", 1.35 * CAPACITY), Stream.of(steady(HUGE, "a", 0.03 * CAPACITY))));
             case SINGLE_PRIORITY -> load(Stream.of(steady(NORMAL, "a", 1.5 * CAPACITY)));
         };
     }
