--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
@@ -6,7 +6,6 @@
 import org.kingcuproad.policy.gateway.QueueAdmissionDecision;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.RetryAfter;
-import org.kingcuproad.policy.gateway.ServiceStatistics;
 
 /** Refuses requests of one service that can't be served in time, and says when their clients may return. */
 final class RequestRefusals {
@@ -16,11 +15,11 @@
     private final Gateway gateway;
     private final RequestQueue<Exchange> queue;
     private final UpstreamPool upstreams;
-    private final ServiceStatistics statistics;
+    private final UpstreamStatistics statistics;
     private final ScarceCapacity scarcity;
 
     RequestRefusals(
-            Gateway gateway, RequestQueue<Exchange> queue, UpstreamPool upstreams, ServiceStatistics statistics) {
+            Gateway gateway, RequestQueue<Exchange> queue, UpstreamPool upstreams, UpstreamStatistics statistics) {
         this.gateway = gateway;
         this.queue = queue;
         this.upstreams = upstreams;
@@ -62,12 +61,16 @@
             return;
         }
         if (scarcity.active()) {
-            scarcity.overdue(statistics, upstreams.acceptedPerSecond(), nowMs)
+            scarcity.overdue(statistics.standing(nowMs), upstreams.acceptedPerSecond(), nowMs)
                     .forEach(refusal -> refuseForWait(refusal.request(), refusal.expectedWaitMs(), nowMs));
             return;
         }
         QueueAdmissionDecision admission = QueueAdmissionDecision.of(
-                exchange.schedulingAttributes(), queue.size(), statistics, upstreams.acceptedPerSecond(), nowMs);
+                exchange.schedulingAttributes(),
+                queue.size(),
+                statistics.standing(nowMs),
+                upstreams.acceptedPerSecond(),
+                nowMs);
         if (admission.refused()) {
             refuseForWait(exchange, admission.expectedWaitMs(), nowMs);
         }
@@ -81,7 +84,7 @@
             }
             long retryAfterMs = RetryAfter.ofWait(
                     expectedWaitMs,
-                    statistics,
+                    statistics.standing(nowMs),
                     exchange.deadlineMs() - nowMs,
                     ThreadLocalRandom.current().nextDouble(),
                     nowMs);
@@ -126,6 +129,6 @@
         double draw = ThreadLocalRandom.current().nextDouble();
         return upstreams.allEvacuated()
                 ? RetryAfter.maxDelayMs(remainingMs, draw)
-                : RetryAfter.of(queue.size(), statistics, remainingMs, draw, nowMs);
+                : RetryAfter.of(queue.size(), statistics.standing(nowMs), remainingMs, draw, nowMs);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.policy.coldstart.ColdStart;
 import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
-import org.kingcuproad.policy.gateway.ServiceStatistics;
 import org.kingcuproad.policy.gateway.SharedRequestLimit;
 import org.kingcuproad.policy.gateway.UpstreamAvailability;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -213,13 +212,6 @@
         return evacuations.usableSlots(entry.dataCentre(), entry.slots(), nowMs);
     }
 
-    /** Records that a request has left a slot. A slot of an evacuated upstream shortens no request's wait. */
-    void onSlotReleased(ServiceStatistics statistics, long nowMs) {
-        if (!evacuated()) {
-            statistics.onSlotReleased(nowMs);
-        }
-    }
-
     /** Returns whether new requests may be sent to the upstream, unless it is only busy or asks for a pause. */
     boolean usable() {
         return inService() && !evacuated();
