Return slots to upstreams by degrees while they are cold

With many cold upstreams the tolerated rate alone let a returning data centre get all new requests: 24 upstreams tolerate 624 a second. While an upstream is cold or its data centre returns, its requests stay below a number that grows from one to its slots, also below those that each gateway may otherwise always have there.

ColdUpstreamTest assumed that a warm upstream without load is preferred to a faster one, and failed; the other upstream is now slow, so the cold one is preferred whenever it may get requests, and the check is stricter.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -208,9 +208,13 @@
         return evacuations.covers(entry.dataCentre());
     }
 
-    /** Returns the number of requests that the upstream may process; fewer right after an evacuation. */
-    int usableSlots(long nowMs) {
-        return evacuations.usableSlots(entry.dataCentre(), entry.slots(), nowMs);
+    /**
+     * Returns the number of requests that the upstream may process; fewer right after an evacuation, and while it is
+     * cold if that limits it.
+     */
+    int usableSlots(boolean limitedWhileCold, long nowMs) {
+        int slots = evacuations.usableSlots(entry.dataCentre(), entry.slots(), nowMs);
+        return limitedWhileCold ? Math.min(slots, coldStart.usableSlots(entry.slots(), nowMs)) : slots;
     }
 
     /** Records that a request has left a slot. A slot of an evacuated upstream shortens no request's wait. */
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -57,7 +57,7 @@
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
-                gateway.peerLoads().limit(upstream.usableSlots(nowMs), upstream.inFlight(), peers, nowMs),
+                limit(upstream, peers, coldIntervalMs > 0, nowMs),
                 upstream.pendingPrefillTokens() + peers.pendingPrefillTokens(),
                 upstream.health().latencyMs(),
                 upstream.health().failureRate(),
@@ -65,4 +65,15 @@
                 upstream.entry().dataCentre().equals(gateway.settings().dataCentre()),
                 admitted);
     }
+
+    /**
+     * Each gateway may always have some requests at an upstream, whatever its slots. One that returns gets fewer, since
+     * it is empty and would be selected for all new requests of all gateways.
+     */
+    private int limit(Upstream upstream, PeerLoads.Load peers, boolean limitedWhileCold, long nowMs) {
+        int slots = upstream.entry().slots();
+        int usableSlots = upstream.usableSlots(limitedWhileCold, nowMs);
+        int limit = gateway.peerLoads().limit(slots, upstream.inFlight(), peers, nowMs);
+        return usableSlots < slots ? Math.min(usableSlots, limit) : limit;
+    }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/evacuation/EvacuationListener.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/evacuation/EvacuationListener.java
@@ -104,9 +104,10 @@
 
     /** Names are checked after each watch, because upstreams may be listed after the evacuations. */
     private void reportUnknown() {
-        Set<String> known = knownDataCentres.get();
+        Set<String> names = evacuations.names();
+        Set<String> known = names.isEmpty() ? Set.of() : knownDataCentres.get();
         if (!known.isEmpty()) {
-            evacuations.names().stream()
+            names.stream()
                     .filter(name -> !known.contains(name))
                     .filter(reported::add)
                     .forEach(name -> log.event("evacuation of an unknown data centre")
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ColdUpstreamTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ColdUpstreamTest.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -32,6 +34,14 @@
         return fixture.upstreamIn(dataCentre, request -> GatewayFixture.ok(request, "{}"));
     }
 
+    /** Starts an upstream to which the cold one is preferred when it may get requests. */
+    private void slowUpstreamIn(String dataCentre) throws IOException {
+        fixture.upstreamIn(dataCentre, request -> {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+            return GatewayFixture.ok(request, "{}");
+        });
+    }
+
     /** Returns how many requests were sent within the time; all have to be answered. */
     private int sendLookups(long forMs) throws Exception {
         long endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(forMs);
@@ -48,7 +58,7 @@
     void sendsFewRequestsWhileAnUpstreamIsCold() throws Exception {
         fixture.setColdPerSecond(26);
         FakeUpstream cold = upstreamIn("dc1");
-        upstreamIn("dc2");
+        slowUpstreamIn("dc2");
         fixture.start();
         fixture.reportCold(0, COLD_MS);
         Thread.sleep(1_000);
@@ -65,10 +75,10 @@
         fixture.setColdPerSecond(26);
         fixture.useEvacuations("/list", "dc1");
         FakeUpstream cold = upstreamIn("dc1");
-        upstreamIn("dc2");
+        slowUpstreamIn("dc2");
         fixture.start();
         fixture.reportCold(0, COLD_MS);
-        fixture.changeEvacuation(new StoreObject<>("dc1", java.util.Optional.of("dc1"), ""), true);
+        fixture.changeEvacuation(new StoreObject<>("dc1", Optional.of("dc1"), ""), true);
         Thread.sleep(1_000);
         fixture.setStoreAway(true);
 
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/coldstart/ColdStart.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/coldstart/ColdStart.java
@@ -42,6 +42,18 @@
         return nowMs < untilMs;
     }
 
+    /**
+     * Returns the number of slots of the upstream that may be used. It grows from 1 to all of them in the time for
+     * which the upstream is cold, since the rate that it tolerates alone would let it get all new requests.
+     *
+     * @param slots slots of the upstream
+     * @param nowMs current time, in milliseconds
+     * @return a number from 1 to {@code slots}
+     */
+    public int usableSlots(int slots, long nowMs) {
+        return cold(nowMs) ? (int) Math.max(1, slots * (nowMs - sinceMs) / (untilMs - sinceMs)) : slots;
+    }
+
     /**
      * Returns the earliest time of the next request.
      *
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/coldstart/ColdStartTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/coldstart/ColdStartTest.java
@@ -61,6 +61,18 @@
         assertThat(BOUND.intervalMs(0, 13, false)).isZero();
     }
 
+    /** Guards against a data centre that returns, each of whose many upstreams tolerates a part of all requests. */
+    @Test
+    void returnsSlotsByDegrees() {
+        ColdStart cold = new ColdStart();
+        cold.onReport(3_000, 0, 1_000);
+        cold.onReport(1_800, 0, 2_200);
+
+        assertThat(cold.usableSlots(7, 1_000)).isEqualTo(1);
+        assertThat(cold.usableSlots(8, 2_500)).isEqualTo(4);
+        assertThat(cold.usableSlots(8, 4_000)).isEqualTo(8);
+    }
+
     /** Guards against a cold state that lasts on because its last report is not renewed, or that is noticed late. */
     @Test
     void isColdFromTheReportForTheReportedTime() {
