--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamSelector.java
@@ -73,7 +73,7 @@
                 && takesRequests(group)
                 && exchange.admits(upstream.entry().id());
         PeerLoads.Load peers = gateway.peerLoads().at(upstream.entry().id(), nowMs);
-        int limit = gateway.peerLoads().limit(upstream.usableSlots(nowMs), upstream.inFlight(), peers, nowMs);
+        int limit = limit(upstream, peers, coldIntervalMs > 0, nowMs);
         return new UpstreamCandidate(
                 upstream.inFlight() + peers.inFlight(),
                 group.map(standing -> standing.rampedLimit(limit)).orElse(limit),
@@ -85,4 +85,15 @@
                 admitted,
                 group);
     }
+
+    /**
+     * Each gateway may always have some requests at an upstream, whatever its slots. One that returns gets fewer, since
+     * it is empty and would be selected for all new requests of all gateways.
+     */
+    private int limit(Upstream upstream, PeerLoads.Load peers, boolean limitedWhileCold, long nowMs) {
+        int slots = upstream.entry().slots();
+        int usableSlots = upstream.usableSlots(limitedWhileCold, nowMs);
+        int limit = gateway.peerLoads().limit(slots, upstream.inFlight(), peers, nowMs);
+        return usableSlots < slots ? Math.min(usableSlots, limit) : limit;
+    }
 }
