Wait for a closed HTTP listener without a time limit

Cause: close() waited one second at most, and the selection that closes the socket came later on a machine with a load average of 22, so HttpServerTest.refusesConnectionsOnceItIsClosed failed once more. Change: it waits until the selection, or until the event loop has terminated.

--- a/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
+++ b/kingcuproad-runtime/src/main/java/org/kingcuproad/runtime/http/HttpServer.java
@@ -29,8 +29,6 @@
     /** Delay after which the selector has removed a closed channel; any delay leads past the next selection. */
     private static final long DEREGISTRATION_MS = 1;
 
-    private static final long MAX_CLOSE_MS = 1_000;
-
     private final HttpServerSettings settings;
     private final HttpHandler handler;
     private final ServerConnections connections = new ServerConnections();
@@ -92,9 +90,7 @@
     public void close() {
         CompletableFuture<Void> refusing = stopListening();
         if (!listener.eventLoop().inEventLoop()) {
-            // An event loop that shuts down runs no scheduled tasks; it closes its sockets itself.
-            refusing.completeOnTimeout(null, MAX_CLOSE_MS, TimeUnit.MILLISECONDS)
-                    .join();
+            refusing.join();
         }
         connections.closeAll();
     }
@@ -102,6 +98,8 @@
     /** Completes when the listening socket is closed, which a selector does only with the selection after the close. */
     private CompletableFuture<Void> stopListening() {
         CompletableFuture<Void> refusing = new CompletableFuture<>();
+        // An event loop that shuts down runs no scheduled tasks; it closes its sockets itself.
+        listener.eventLoop().terminationFuture().addListener(terminated -> refusing.complete(null));
         listener.close()
                 .addListener(closed -> listener.eventLoop()
                         .schedule(() -> refusing.complete(null), DEREGISTRATION_MS, TimeUnit.MILLISECONDS));
