--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/MapChangePlannerTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/lockstep/MapChangePlannerTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -28,6 +29,12 @@
     /** Part of the uneven load that may be left on average while popularity shifts every few seconds. */
     private static final double MAX_SHIFTING_EXCESS = 0.5;
 
+    /** The same for many sets, with patterns that last 2.2 s and passes of up to 200 ms. */
+    private static final double MAX_FAST_SHIFTING_EXCESS = 0.6;
+
+    /** Mean time from a shift to the first map for it; 1,300 ms with a constant lead and passes of 200 ms. */
+    private static final double MAX_RESPONSE_MS = 900;
+
     /**
      * A plan of a group with many sets takes 500 steps of 0.04 ms on a whole processor; 0.2 ms allows for busy ones.
      */
@@ -103,6 +110,35 @@
         assertThat(excess(placement, (double) shifts * periodMs)).isLessThan(MAX_SHIFTING_EXCESS);
     }
 
+    /**
+     * Guards against answers that come when the pattern has nearly ended: with slow plans and a lead of four passes,
+     * six of ten shifts got none while passes took 200 ms.
+     */
+    @ParameterizedTest
+    @CsvSource({"80, 2200", "200, 2200", "80, 3400", "200, 3400"})
+    void answersEveryShiftWhilePassesAreShortOrLong(long passMs, long periodMs) {
+        Group group = Group.MANY_SETS;
+        SimulatedDemand demand = group.demand(4);
+        SimulatedPlacement placement = new SimulatedPlacement(
+                group.shape, group.ranks, demand, group.requestsPerS, new SimulatedPlacement.Timing(passMs, 200, 0.2));
+        placement.run(6_000);
+        placement.resetFigures();
+        int shifts = 8;
+        for (int shift = 0; shift < shifts; shift++) {
+            placement.shift(0.7);
+            placement.run(periodMs);
+        }
+
+        assertThat(placement.responsesMs()).as("answers").hasSize(shifts);
+        assertThat(placement.responsesMs().stream()
+                        .mapToLong(Long::longValue)
+                        .average()
+                        .orElseThrow())
+                .as("time from a shift to the first map for it")
+                .isLessThan(MAX_RESPONSE_MS);
+        assertThat(excess(placement, (double) shifts * periodMs)).isLessThan(MAX_FAST_SHIFTING_EXCESS);
+    }
+
     /** Guards against copies that answer nothing but the accuracy of the estimate. */
     @Test
     void keepsTheMapOfAnEvenlyLoadedGroup() {
