Base refusals on usable groups, and keep the bound on cold upstreams without tolerance

Groups of evacuated data centres counted as capacity for a minute; with only some groups known, the others counted as none. A service without cold_over and cold_slack got up to 30 requests a second from 15 gateways where 26 are allowed (ColdStartTest). Where keys are optional, priorities of workspaces were ignored. A very small evac_ms made the watch call the store all the time.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreWatchers.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreWatchers.java
@@ -24,6 +24,9 @@
      */
     private static final double EVACUATION_WATCH_FRACTION = 0.4;
 
+    /** Minimum duration of a watch; a shorter one would call the store all the time. */
+    private static final long MIN_WATCH_MS = 500;
+
     private final List<StoreWatcher<?>> watchers = new ArrayList<>();
 
     StoreWatchers(
@@ -64,7 +67,7 @@
                                 log,
                                 storeView::notifyChange),
                         log,
-                        Math.round(withinMs * EVACUATION_WATCH_FRACTION))));
+                        Math.max(MIN_WATCH_MS, Math.round(withinMs * EVACUATION_WATCH_FRACTION)))));
     }
 
     void start() {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamStatistics.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamStatistics.java
@@ -23,13 +23,19 @@
         return statistics.service();
     }
 
-    /** Returns the statistics on which refusals are based: those of the groups that take requests. */
+    /**
+     * Returns the statistics on which refusals are based: those of the groups that take requests, or those of the whole
+     * service unless the groups of all its usable upstreams are known.
+     */
     ServiceStatistics standing(long nowMs) {
-        List<GroupStanding> groups = upstreams.list().stream()
-                .flatMap(upstream -> standing(upstream, nowMs).stream())
+        List<Optional<GroupStanding>> groups = upstreams.list().stream()
+                .filter(Upstream::usable)
+                .map(upstream -> standing(upstream, nowMs))
                 .distinct()
                 .toList();
-        return statistics.standing(groups);
+        return groups.contains(Optional.<GroupStanding>empty())
+                ? service()
+                : statistics.standing(groups.stream().flatMap(Optional::stream).toList());
     }
 
     void onResponseStarted(Upstream upstream, double responseMs, long nowMs) {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/coldstart/ColdRateBound.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/coldstart/ColdRateBound.java
@@ -5,8 +5,9 @@
  *
  * <p>It answers the load in which several gateways, which may not reach one another, find an empty upstream at the same
  * time. Each gateway uses an equal share of the tolerated rate, evenly spaced, so no messages are needed: in any one
- * second each of n gateways sends at most one request more than its share, and all together at most n more than the
- * tolerated rate.
+ * second each of n gateways sends at most its share, rounded up. A share that would exceed the bound when rounded up is
+ * lowered. With more gateways than requests that the bound allows, the bound can't be kept without messages, and the
+ * shares only add up to the tolerated rate.
  *
  * @param over how many times the tolerated rate may be reached
  * @param slack requests that may be sent in addition
@@ -33,7 +34,11 @@
         if (toleratedPerSecond <= 0) {
             return 0;
         }
-        double assumed = complete ? 1 : Math.floor(toleratedPerSecond * over + slack);
-        return MS_PER_SECOND * Math.max(knownGateways, Math.max(1, assumed)) / toleratedPerSecond;
+        double bound = toleratedPerSecond * over + slack;
+        double gateways = Math.max(knownGateways, complete ? 1 : Math.max(1, Math.floor(bound)));
+        double share = toleratedPerSecond / gateways;
+        // In any one second, evenly spaced requests are at most the rate a second, rounded up.
+        double wholeShareWithinBound = Math.floor(bound / gateways);
+        return MS_PER_SECOND / (wholeShareWithinBound < 1 ? share : Math.min(share, wholeShareWithinBound));
     }
 }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/DemandEstimator.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/DemandEstimator.java
@@ -29,7 +29,7 @@
      */
     private static final double MIN_DISTANCE = 0.1;
 
-    /** Standard errors above which a difference is no chance; there are about ten checks a second. */
+    /** Standard errors above which a difference is no chance; there are up to twenty checks a second. */
     private static final double MIN_DEVIATIONS = 9;
 
     /** Age of the oldest sample with which the estimate starts anew when a shift is found. */
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/scarcity/PriorityDifferences.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/scarcity/PriorityDifferences.java
@@ -30,10 +30,12 @@
 
     /** A workspace's priority takes precedence over that of the route. */
     private static IntStream priorities(GatewayRoute route, GatewayConfiguration configuration) {
-        boolean keysChecked = !route.anonymous() && configuration.keyRequirement() == KeyRequirement.ALWAYS;
-        return keysChecked
+        KeyRequirement requirement = configuration.keyRequirement();
+        IntStream ofWorkspaces = !route.anonymous() && requirement.appliesTo(true)
                 ? configuration.keyOwners().values().stream()
                         .mapToInt(owner -> owner.priority().orElse(route.priority()))
-                : IntStream.of(route.priority());
+                : IntStream.empty();
+        boolean servedWithoutKey = route.anonymous() || !requirement.appliesTo(false);
+        return servedWithoutKey ? IntStream.concat(ofWorkspaces, IntStream.of(route.priority())) : ofWorkspaces;
     }
 }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/coldstart/ColdStartTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/coldstart/ColdStartTest.java
@@ -90,4 +90,16 @@
         cold.onReport(0, 0, 5_500);
         assertThat(cold.cold(5_500)).isFalse();
     }
+
+    /**
+     * Guards against shares that exceed a bound without tolerance when they are rounded up: 30 requests instead of 26.
+     */
+    @Test
+    void staysWithinABoundWithoutTolerance() {
+        double intervalMs = ColdRateBound.DEFAULT.intervalMs(PER_SECOND, 15, true);
+
+        for (long seed = 0; seed < 50; seed++) {
+            assertThat(mostInOneSecond(15, intervalMs, seed)).as("seed " + seed).isBetween(1L, (long) PER_SECOND);
+        }
+    }
 }
