Count the framing of chunks towards the size of a reply

Cause: a reply of one-byte chunks is six times as long as its content, so a server could write 29,436,047 bytes before its call was given up; the bound of EndlessReplyTest is 25,165,824. Change: each chunk counts with its framing. After: EndlessReplyTest passes.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ReplyAssembler.java
@@ -21,10 +21,14 @@
      */
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
+    /** Bytes of a chunk besides its content; a body of one-byte chunks is six times as long as its content. */
+    private static final int MIN_FRAME_BYTES = 5;
+
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ResponseFraming framing = ResponseFraming.NO_BODY;
     private int status;
     private int informationalResponses;
+    private int receivedBytes;
     private boolean skipping;
     private boolean keepAlive;
     private boolean complete;
@@ -72,7 +76,8 @@
             skipping = !last;
             return Optional.empty();
         }
-        if (body.size() + content.content().readableBytes() > MAX_RESPONSE_BYTES) {
+        receivedBytes += MIN_FRAME_BYTES + content.content().readableBytes();
+        if (receivedBytes > MAX_RESPONSE_BYTES) {
             return Optional.of("response of more than " + MAX_RESPONSE_BYTES + " bytes");
         }
         body.writeBytes(ByteBufUtil.getBytes(content.content()));
