--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ExpertLoads.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/lockstep/ExpertLoads.java
@@ -90,22 +90,6 @@
         return new Demand(setCounts, variances);
     }
 
-    /**
-     * Returns a copy whose choices decay at another rate from now on.
-     *
-     * @param newHalfLifeMs time after which the weight of a choice is halved, in milliseconds
-     * @return the copy
-     */
-    public ExpertLoads withHalfLife(double newHalfLifeMs) {
-        ExpertLoads copy = new ExpertLoads(newHalfLifeMs, expertsPerSet);
-        copy.counts = counts.clone();
-        copy.squares = squares.clone();
-        copy.productsWithTotals = productsWithTotals.clone();
-        copy.squaredTotals = squaredTotals.clone();
-        copy.lastDecayMs = lastDecayMs;
-        return copy;
-    }
-
     /**
      * Returns the number of recent choices over all sets.
      *
