--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRefusals.java
@@ -103,17 +103,15 @@
 
     /** Refuses a request that arrives while no upstream is left. */
     void refuseWithoutUpstream(Exchange exchange) {
-        refuse(
-                exchange,
-                ErrorKind.NO_UPSTREAM,
-                upstreams.allEvacuated() ? EVACUATED : "no upstream of the service is available");
+        refuseUnserved(exchange, "no upstream of the service is available");
     }
 
     void endUnservable(Exchange exchange) {
-        refuse(
-                exchange,
-                ErrorKind.NO_UPSTREAM,
-                upstreams.allEvacuated() ? EVACUATED : "no upstream of the service accepts requests in time");
+        refuseUnserved(exchange, "no upstream of the service accepts requests in time");
+    }
+
+    private void refuseUnserved(Exchange exchange, String reasonUnlessEvacuated) {
+        refuse(exchange, ErrorKind.NO_UPSTREAM, upstreams.allEvacuated() ? EVACUATED : reasonUnlessEvacuated);
     }
 
     void refuse(Exchange exchange, ErrorKind kind, String detail) {
