--- a/review/standins/Configuration.java
+++ b/review/standins/Configuration.java
@@ -23,4 +23,9 @@
         return "{\"name\":\"" + name
                 + "\",\"health_path\":\"/healthz\",\"max_connections\":258,\"protocol\":\"h1\",\"tls\":false}";
     }
+
+    /** Returns a service whose cold servers tolerate some requests a second from all gateways together. */
+    static String coldService(String name, int coldPerSecond) {
+        return service(name).replace("}", ",\"cold_per_s\":" + coldPerSecond + ",\"cold_start_s\":3.0}");
+    }
 }
--- a/review/standins/GatewayProcess.java
+++ b/review/standins/GatewayProcess.java
@@ -45,7 +45,7 @@
                  "bounds":{"seed_lag_s":3,"reuse_after_s":2,"stable_window_ms":3000,"ack_ms":4000,"catch_up_s":4,
                   "drain_ms":2000,"grace_s":8,"lost_ms":200,"config_ms":2000,"downgrade_ms":250,"outer_ms":5000,
                   "strict_revocation":true,"revoke_ms":5000,"retry_budget_ratio":0.2,"budget_window_s":10,
-                  "budget_slack":94,"recover_s":12,"pass_ms":120,"again_s":0,"stall_ms":1500,
+                  "budget_slack":94,"cold_over":1.5,"cold_slack":5,"recover_s":12,"pass_ms":120,"again_s":0,"stall_ms":1500,
                   "require_fencing":false},
                  "provider":{"address":"%s:%d","form":"objects","writes_per_s":400,"reads_per_s":2000,
                   "history_s":20,"value_bytes":1048576,"ttl_min_ms":1000}}
