Review case 9: a prompt part that crashes servers is never refused while other servers flap

Cause: a part has to be lost with at least half of all crashes of its time to be taken for their cause.

--- a/review/standins/CrashingPart.java
+++ b/review/standins/CrashingPart.java
@@ -9,23 +9,37 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A prompt part that crashes each server, from the first second of traffic on. */
+/** A prompt part that crashes each server, while another server goes down and up by turns for a cause of its own. */
 final class CrashingPart {
 
     private static final String CRASHING_PART = "dead0001";
-    private static final int SERVERS = 3;
-    private static final int SLOTS = 12;
+    private static final int SERVERS = 18;
+    private static final int SLOTS = 8;
     private static final int EVENTS = 28;
     private static final long EVENT_MS = 85;
     private static final long FIRST_EVENT_MS = 200;
     private static final long BACK_AFTER_MS = 4_000;
     private static final long STABLE_WINDOW_MS = 3_000;
     private static final int ALLOWED = 3;
-    private static final long RUN_MS = 45_000;
-    private static final long INTERVAL_MS = 166;
+
+    /** Servers that go down and up by turns, a share of 0.11. */
+    private static final int FLAPPING_SERVERS = 2;
+
+    /** Time for which a flapping server is down, and then up. */
+    private static final long FLAP_MS = 820;
+
+    /** Length of one period in which servers flap, and of the pause after it. */
+    private static final long FLAPPING_MS = 6_500;
+
+    private static final long FLAPPING_PAUSE_MS = 1_300;
+
+    /** Sound requests come alone at first, so that their parts are known to be sound. */
+    private static final long SOUND_ONLY_MS = 8_000;
+    private static final long RUN_MS = 58_000;
+    private static final long INTERVAL_MS = 80;
 
     /** One request in so many has the crashing part. */
-    private static final int CRASHING_EVERY = 10;
+    private static final int CRASHING_EVERY = 100;
 
     private final Record record;
     private final Store store;
@@ -35,6 +49,7 @@
     private final AtomicInteger soundServed = new AtomicInteger();
     private final AtomicInteger soundSent = new AtomicInteger();
     private final AtomicInteger starts = new AtomicInteger();
+    private final AtomicInteger flaps = new AtomicInteger();
     private volatile boolean stopping;
 
     private CrashingPart(Record record, Store store, boolean trouble) {
@@ -62,7 +77,7 @@
                 List.of(Configuration.route("summary", "/summary/", "streaming", 8_000, 401, "models", true)),
                 List.of(Configuration.service("models")),
                 ""));
-        for (int index = 0; index < SERVERS; index++) {
+        for (int index = 0; index < SERVERS - FLAPPING_SERVERS; index++) {
             startServer(Server.anyPort());
         }
         for (GatewayProcess gateway : gateways) {
@@ -75,11 +90,17 @@
             }
         }
         Thread.sleep(1_000);
+        long crashingFromMs = record.nowMs() + SOUND_ONLY_MS;
         long endMs = record.nowMs() + RUN_MS;
+        if (trouble && !"0".equals(System.getenv("FLAPPING"))) {
+            for (int index = 0; index < FLAPPING_SERVERS; index++) {
+                Thread.startVirtualThread(this::flap);
+            }
+        }
         Random random = new Random(6);
         int tick = 0;
         while (record.nowMs() < endMs) {
-            send(gateways.get(random.nextInt(gateways.size())), tick % CRASHING_EVERY == 0, tick);
+            send(gateways.get(random.nextInt(gateways.size())), tick % CRASHING_EVERY == 0 && record.nowMs() >= crashingFromMs, tick);
             tick++;
             Thread.sleep(INTERVAL_MS);
         }
@@ -117,10 +138,33 @@
         });
     }
 
-    private void startServer(InetSocketAddress address) throws IOException {
+    /** Lets one server go down and up by turns, in one period after the other. */
+    private void flap() {
+        try {
+            Server server = startServer(Server.anyPort());
+            while (!stopping) {
+                long endMs = record.nowMs() + FLAPPING_MS;
+                while (record.nowMs() < endMs && !stopping) {
+                    Thread.sleep(FLAP_MS);
+                    record.line("server %s goes down by turns", server.id());
+                    server.crash();
+                    flaps.incrementAndGet();
+                    store.remove("servers", server.id());
+                    Thread.sleep(FLAP_MS);
+                    server = startServer(Server.anyPort());
+                }
+                Thread.sleep(FLAPPING_PAUSE_MS);
+            }
+        } catch (IOException | InterruptedException failed) {
+            record.line("the flapping server could not go on: %s", failed);
+        }
+    }
+
+    private Server startServer(InetSocketAddress address) throws IOException {
         Server server = new Server(record, "i-" + starts.incrementAndGet(), address, this::answer);
         store.put("servers", server.id(), server.entry("models", SLOTS, "ready"));
         record.line("server %s starts", server.id());
+        return server;
     }
 
     private boolean answer(Server server, Http.Message request, OutputStream out)
@@ -163,7 +207,7 @@
                 store.remove("servers", server.id());
                 Thread.sleep(BACK_AFTER_MS - 3_600);
                 if (!stopping) {
-                    startServer(server.address());
+                    startServer(Server.anyPort());
                 }
             } catch (IOException | InterruptedException failed) {
                 record.line("server could not start again: %s", failed);
@@ -173,7 +217,7 @@
 
     private int judge() throws InterruptedException {
         Thread.sleep(500);
-        record.line("crashes: %s", crashesMs);
+        record.line("crashes by the part: %s; crashes of the flapping server: %d", crashesMs, flaps.get());
         record.line("sound requests: %d sent, %d served", soundSent.get(), soundServed.get());
         if (crashesMs.size() < 5) {
             record.line("rule BUDGET held: %d crashes", crashesMs.size());
