--- a/review/standins/CrashingPart.java
+++ b/review/standins/CrashingPart.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A prompt part that crashes each server, while another server goes down and up by turns for a cause of its own. */
+/** A prompt part that crashes each server, while other servers go down and up by turns for a cause of their own. */
 final class CrashingPart {
 
     private static final String CRASHING_PART = "dead0001";
@@ -35,6 +35,7 @@
 
     /** Sound requests come alone at first, so that their parts are known to be sound. */
     private static final long SOUND_ONLY_MS = 8_000;
+
     private static final long RUN_MS = 58_000;
     private static final long INTERVAL_MS = 80;
 
@@ -100,7 +101,8 @@
         Random random = new Random(6);
         int tick = 0;
         while (record.nowMs() < endMs) {
-            send(gateways.get(random.nextInt(gateways.size())), tick % CRASHING_EVERY == 0 && record.nowMs() >= crashingFromMs, tick);
+            boolean crashing = tick % CRASHING_EVERY == 0 && record.nowMs() >= crashingFromMs;
+            send(gateways.get(random.nextInt(gateways.size())), crashing, tick);
             tick++;
             Thread.sleep(INTERVAL_MS);
         }
--- a/review/standins/TenantNames.java
+++ b/review/standins/TenantNames.java
@@ -65,8 +65,9 @@
         }
         int foreign = 0;
         for (int tenant = 0; tenant < 2; tenant++) {
-            Client.Answer read = Client.send(
-                    gateway.front(), "GET", "/read/all", Client.newAttempt(), "X-Api-Key: key" + tenant + "\r\n", "", 2_511);
+            String key = "X-Api-Key: key" + tenant + "\r\n";
+            Client.Answer read =
+                    Client.send(gateway.front(), "GET", "/read/all", Client.newAttempt(), key, "", 2_511);
             record.line("client with the key of %s reads: %s", names.get(tenant), read.body());
             if (read.served() && read.body().contains("of tenant " + (1 - tenant))) {
                 foreign++;
