Remove missing upstreams at once if the store served another gateway throughout

Cause: each interruption of a gateway's own connections to the store was taken for an outage of the store, after which missing entries are kept for 2.2 s. An interruption of one gateway lets no entry expire.

Evidence: the late orders come from the silent gateway alone and begin when it reads the listing without the entry. The log now says when contact is restored and whether an outage is excluded.

Change: gateways report duration and age of their contact with the store along with their loads. A gateway that another one outlasted in contact removes missing entries at once, also if the report comes after the store's response. The load report is a new type of datagram, which gateways of the former version ignore.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import org.kingcuproad.model.ErrorKind;
 import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
 import org.kingcuproad.policy.gateway.RetryAfter;
+import org.kingcuproad.policy.gateway.StoreContact;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
 import org.kingcuproad.policy.quarantine.QuarantinedPrompt;
@@ -263,6 +264,10 @@
         return storeView.evacuations();
     }
 
+    StoreContact storeContact() {
+        return storeView.storeContact();
+    }
+
     PeerLoads peerLoads() {
         return peerLoads;
     }
@@ -311,7 +316,9 @@
     }
 
     private void sendLoadsToPeers() {
-        peerChannel.send(() -> PeerLoads.ownLoads(allUpstreams().stream()));
+        peerChannel.send(
+                () -> PeerLoads.ownLoads(allUpstreams().stream()),
+                storeView.storeContact().report(clock.steadyMs()));
         long intervalMs = Math.round(PEER_LOADS_MS * Math.max(1.0, (double) peerLoads.count() / FULL_RATE_PEERS));
         eventLoop.schedule(this::sendLoadsToPeers, intervalMs, TimeUnit.MILLISECONDS);
     }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -20,26 +19,20 @@
 import org.kingcuproad.gateway.enginegroup.GroupReportCodec;
 import org.kingcuproad.gateway.rank.SlowdownNotifier;
 import org.kingcuproad.policy.enginegroup.GroupReport;
+import org.kingcuproad.policy.gateway.StoreContact;
 import org.kingcuproad.runtime.log.DecisionLog;
 
 /**
  * Exchanges reports of loads, crashes and request limits with the other gateways, and receives the slowdown notices of
  * agents.
  *
- * <p>A load datagram holds the format version, the gateway's name, and for each upstream with requests its id, the
- * number of requests in progress and their pending prefill tokens. Lost datagrams are not repeated, since the next one
- * replaces them.
+ * <p>Lost datagrams with loads are not repeated, since the next one replaces them.
  */
 final class PeerChannel {
 
-    private static final int FORMAT_VERSION = 1;
-
     /** Interval at which subscriptions are renewed; agents drop one that is not renewed within three intervals. */
     private static final long RENEWAL_MS = 1_000;
 
-    /** Maximum size of a datagram; it must fit into one packet on common links. */
-    private static final int MAX_BYTES = 1_400;
-
     /** Maximum number of datagrams of one crash report; the repetitions of the report send the others. */
     private static final int MAX_CRASH_DATAGRAMS = 32;
 
@@ -73,6 +66,9 @@
         void onCrashReport(CrashReport report);
 
         void onLimitReport(LimitReport report);
+
+        /** Receives how long another gateway has been in contact with the store. */
+        void onStoreContact(StoreContact.Report report);
     }
 
     PeerChannel(DecisionLog log, String name, PeerLoads loads, Listener listener, Clock clock) {
@@ -99,24 +95,9 @@
         }
     }
 
-    /** Sends this gateway's loads to all known peers. */
-    void send(Supplier<Map<String, PeerLoads.Load>> ownLoads) {
-        Channel open = channel;
-        var addresses = loads.addresses(clock.steadyMs());
-        if (open == null || !open.isActive() || addresses.isEmpty()) {
-            return;
-        }
-        ByteBuf message = open.alloc().buffer(MAX_BYTES);
-        message.writeByte(FORMAT_VERSION);
-        DatagramText.write(message, name);
-        ownLoads.get().forEach((id, load) -> {
-            if (message.readableBytes() + id.length() + Integer.BYTES * 2 < MAX_BYTES) {
-                DatagramText.write(message, id);
-                message.writeShort(load.inFlight());
-                message.writeInt((int) load.pendingPrefillTokens());
-            }
-        });
-        broadcast(open, message, addresses);
+    /** Sends this gateway's loads and its contact with the store to all known peers. */
+    void send(Supplier<Map<String, PeerLoads.Load>> ownLoads, StoreContact.Report storeContact) {
+        broadcast(() -> LoadReportCodec.encode(new LoadReport(name, storeContact, ownLoads.get())));
     }
 
     /** Sends a crash report to all known peers, or the next part of a large one. */
@@ -183,7 +164,7 @@
                     case GroupReportCodec.TYPE ->
                         listener.onGroupReport(packet.sender().getHostString(), GroupReportCodec.decode(message));
                     case LimitReportCodec.TYPE -> listener.onLimitReport(LimitReportCodec.decode(message));
-                    case FORMAT_VERSION -> readLoads(message, packet.sender());
+                    case LoadReportCodec.TYPE -> onLoadReport(LoadReportCodec.decode(message), packet.sender());
                     default -> {}
                 }
             } catch (IndexOutOfBoundsException truncated) {
@@ -193,15 +174,9 @@
             }
         }
 
-        private void readLoads(ByteBuf message, InetSocketAddress address) {
-            message.skipBytes(1);
-            String sender = DatagramText.read(message);
-            Map<String, PeerLoads.Load> reported = new HashMap<>();
-            while (message.isReadable()) {
-                String id = DatagramText.read(message);
-                reported.put(id, new PeerLoads.Load(message.readUnsignedShort(), message.readInt()));
-            }
-            loads.onMessage(sender, address, reported, clock.steadyMs());
+        private void onLoadReport(LoadReport report, InetSocketAddress address) {
+            loads.onMessage(report.sender(), address, report.loads(), clock.steadyMs());
+            listener.onStoreContact(report.storeContact());
         }
 
         @Override
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
@@ -1,6 +1,7 @@
 package org.kingcuproad.gateway;
 
 import org.kingcuproad.policy.enginegroup.GroupReport;
+import org.kingcuproad.policy.gateway.StoreContact;
 
 /** Passes reports of other gateways and of agents on to the parts of the gateway that use them. */
 final class PeerReportHandler implements PeerChannel.Listener {
@@ -37,4 +38,9 @@
     public void onLimitReport(LimitReport report) {
         gateway.upstreamLimits().onReport(report, gateway.clock().steadyMs());
     }
+
+    @Override
+    public void onStoreContact(StoreContact.Report report) {
+        gateway.storeContact().onPeerReport(report, gateway.clock().steadyMs());
+    }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/StoreView.java
@@ -12,6 +12,7 @@
 import org.kingcuproad.policy.gateway.ConfigurationFreshness;
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.RouteTable;
+import org.kingcuproad.policy.gateway.StoreContact;
 import org.kingcuproad.policy.gateway.UpstreamDirectory;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
 import org.kingcuproad.policy.revision.RevisionGate;
@@ -95,13 +96,18 @@
                 && freshness.ready(clock.steadyMs(), clock.wallMs());
     }
 
-    /** Removes upstreams that were still missing some time after an outage of the store ended. */
+    StoreContact storeContact() {
+        return directory.contact();
+    }
+
+    /** Removes upstreams that are missing after contact with the store was restored, once they can't return. */
     void sweep(long nowMs) {
         List<String> expired = directory.removeExpired(nowMs);
         if (!expired.isEmpty()) {
             expired.forEach(id -> log.event("upstream removed")
                     .field("upstream", id)
                     .field("reason", "still missing after the store became reachable again")
+                    .field("outageExcluded", storeContact().outageExcluded())
                     .write());
             onChange.run();
         }
@@ -158,7 +164,7 @@
             public void onListing(
                     List<StoreObject<UpstreamEntry>> objects, long requestedSteadyMs, long requestedWallMs) {
                 long nowMs = clock.steadyMs();
-                directory.onStoreContact(nowMs);
+                onStoreContact(nowMs);
                 List<UpstreamEntry> entries = objects.stream()
                         .flatMap(object -> decoded(object).stream())
                         .toList();
@@ -172,7 +178,7 @@
             public void onChanges(
                     List<StoreChange<UpstreamEntry>> changes, long requestedSteadyMs, long requestedWallMs) {
                 long nowMs = clock.steadyMs();
-                directory.onStoreContact(nowMs);
+                onStoreContact(nowMs);
                 changes.forEach(change -> onUpstream(change, nowMs));
                 if (!changes.isEmpty()) {
                     onChange.run();
@@ -181,6 +187,14 @@
         };
     }
 
+    private void onStoreContact(long nowMs) {
+        if (directory.onStoreContact(nowMs)) {
+            log.event("contact with the store restored")
+                    .field("outageExcluded", storeContact().outageExcluded())
+                    .write();
+        }
+    }
+
     private void onUpstream(StoreChange<UpstreamEntry> change, long nowMs) {
         String id = change.object().name();
         Optional<UpstreamEntry> entry = change.removed() ? Optional.empty() : decoded(change.object());
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/UpstreamDirectory.java
@@ -13,7 +13,7 @@
  *
  * <p>Entries also expire during an outage of the store, although their upstreams are alive. An entry that is missing
  * shortly after contact is restored is therefore kept for up to {@link #RECOVERY_GRACE_MS}; if it is still missing
- * then, it is removed.
+ * then, it is removed. If {@link StoreContact} excludes an outage, it is removed at once.
  */
 public final class UpstreamDirectory {
 
@@ -23,32 +23,36 @@
      */
     public static final long RECOVERY_GRACE_MS = 2_200;
 
-    /**
-     * Time without contact to the store after which entries may have expired; shorter than three of the shortest
-     * heartbeat intervals. It is longer than the time after which a silent connection to the store is replaced, since
-     * entries that are removed meanwhile have been removed for good.
-     */
-    public static final long STORE_OUTAGE_MS = 2_600;
-
     /** Maximum difference between the times of day of two VMs; clocks may jump by seconds. */
     private static final long MAX_CLOCK_DIFFERENCE_MS = 60_000;
 
     private final Map<String, UpstreamEntry> entries = new HashMap<>();
     private final Map<String, Long> removalTimesMs = new HashMap<>();
-    private long lastContactMs = Long.MIN_VALUE / 2;
+    private final StoreContact contact = new StoreContact();
     private long graceUntilMs = Long.MIN_VALUE / 2;
 
+    /**
+     * Returns the contact of this gateway with the store.
+     *
+     * @return the contact
+     */
+    public StoreContact contact() {
+        return contact;
+    }
+
     /**
      * Records a response from the store. A grace period for missing entries begins if the store was out of contact
      * before.
      *
      * @param nowMs current time, in milliseconds
+     * @return whether the response ends an interruption
      */
-    public void onStoreContact(long nowMs) {
-        if (nowMs - lastContactMs > STORE_OUTAGE_MS && !entries.isEmpty()) {
+    public boolean onStoreContact(long nowMs) {
+        boolean restored = contact.onResponse(nowMs) && !entries.isEmpty();
+        if (restored) {
             graceUntilMs = nowMs + RECOVERY_GRACE_MS;
         }
-        lastContactMs = nowMs;
+        return restored;
     }
 
     /**
@@ -88,7 +92,7 @@
         if (!entries.containsKey(id)) {
             return;
         }
-        if (nowMs < graceUntilMs) {
+        if (nowMs < graceUntilMs && !contact.outageExcluded()) {
             removalTimesMs.putIfAbsent(id, graceUntilMs);
         } else {
             entries.remove(id);
@@ -97,14 +101,14 @@
     }
 
     /**
-     * Removes entries whose grace period has ended.
+     * Removes entries whose grace period has ended, or does so because no outage preceded it.
      *
      * @param nowMs current time, in milliseconds
      * @return ids of the removed entries
      */
     public List<String> removeExpired(long nowMs) {
         List<String> expired = removalTimesMs.entrySet().stream()
-                .filter(removal -> removal.getValue() <= nowMs)
+                .filter(removal -> removal.getValue() <= nowMs || contact.outageExcluded())
                 .map(Map.Entry::getKey)
                 .toList();
         expired.forEach(id -> {
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/UpstreamDirectoryTest.java
@@ -83,4 +83,55 @@
 
         assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactly(SECOND);
     }
+
+    /** Guards against requests to an upstream that left while the store was silent to this gateway alone. */
+    @Test
+    void removesAMissingUpstreamAtOnceIfTheStoreServedAnotherGatewayThroughout() {
+        UpstreamDirectory directory = directoryWithTwoEntries();
+        directory.contact().onPeerReport(new StoreContact.Report(10_000, 400), 10_000);
+        directory.onStoreContact(10_000);
+
+        directory.onListing(List.of(SECOND), 10_000);
+
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactly(SECOND);
+    }
+
+    /** As above, where the VM was cut off from the other gateways too and hears them later than the store. */
+    @Test
+    void endsTheGraceOnceAnotherGatewayReportsContactThroughout() {
+        UpstreamDirectory directory = directoryWithTwoEntries();
+        directory.onStoreContact(10_000);
+        directory.onListing(List.of(SECOND), 10_000);
+        assertThat(directory.removeExpired(10_025)).isEmpty();
+
+        directory.contact().onPeerReport(new StoreContact.Report(10_100, 30), 10_050);
+
+        assertThat(directory.removeExpired(10_050)).containsExactly("1");
+    }
+
+    /** Guards against the loss of all upstreams because another gateway has been in contact again for some time. */
+    @Test
+    void keepsExpiredEntriesIfTheStoreWasAwayForAllGateways() {
+        UpstreamDirectory directory = directoryWithTwoEntries();
+        directory.contact().onPeerReport(new StoreContact.Report(10_000, 3_000), 9_990);
+        directory.contact().onPeerReport(new StoreContact.Report(200, 0), 9_995);
+        directory.onStoreContact(10_000);
+        directory.onListing(List.of(), 10_000);
+        directory.contact().onPeerReport(new StoreContact.Report(250, 20), 10_020);
+
+        assertThat(directory.removeExpired(10_025)).isEmpty();
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactlyInAnyOrder(FIRST, SECOND);
+    }
+
+    /** Guards against a report about an earlier interruption that is taken for one about the latest. */
+    @Test
+    void keepsExpiredEntriesIfAPeerWasInContactOnlyInAnEarlierInterruption() {
+        UpstreamDirectory directory = directoryWithTwoEntries();
+        directory.contact().onPeerReport(new StoreContact.Report(10_000, 0), 10_000);
+        directory.onStoreContact(10_000);
+        directory.onStoreContact(20_000);
+        directory.onListing(List.of(), 20_000);
+
+        assertThat(directory.entries(Set.of(), NOW_WALL_MS)).containsExactlyInAnyOrder(FIRST, SECOND);
+    }
 }
