Carry names in headers as UTF-8, and refuse those that no header can carry

Cause: the codec of the connections maps each character of a header value to one byte, and one beyond Latin-1 to a question mark. Names were passed to it as they are.

Evidence: the header ends in the byte 3f for both names, while the owner of each key is right.

Change: HeaderText encodes names in UTF-8 for the codec. A workspace whose name no header can carry unchanged gets 403. The same for ids of upstreams, where such an entry is unusable, and for API keys, which are compared as UTF-8.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedMessages.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ForwardedMessages.java
@@ -45,11 +45,12 @@
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.remove(names.key());
         headers.remove(names.workspace());
-        headers.set(names.expectedUpstream(), upstreamId);
+        headers.set(names.expectedUpstream(), HeaderText.encode(upstreamId).orElseThrow());
         headers.set(names.deadlineMs(), Math.max(1, remainingMs));
         headers.set(names.urgency(), Math.clamp(exchange.priority(), 0, MAX_URGENCY));
         if (exchange.workspace() != null) {
-            headers.set(names.workspace(), exchange.workspace());
+            headers.set(
+                    names.workspace(), HeaderText.encode(exchange.workspace()).orElseThrow());
         }
         if (exchange.lastEventId() != StreamEvent.NO_ID) {
             headers.set(names.lastEventId(), exchange.lastEventId());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/RequestRouter.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.kingcuproad.model.ErrorKind;
@@ -85,10 +86,17 @@
                         "API keys can't be checked because the configuration is too old",
                         RetryAfter.OTHER_GATEWAY_MS);
             }
-            owner = key == null ? null : configuration.get().keyOwners().get(key.strip());
+            Map<String, KeyOwner> keyOwners = configuration.get().keyOwners();
+            owner = Optional.ofNullable(key)
+                    .flatMap(value -> HeaderText.decode(value.strip()))
+                    .map(keyOwners::get)
+                    .orElse(null);
             if (owner == null) {
                 return deny(reliable, ErrorKind.UNAUTHENTICATED, "the API key is missing or unknown");
             }
+            if (HeaderText.encode(owner.workspace()).isEmpty()) {
+                return deny(reliable, ErrorKind.FORBIDDEN, "no header can carry the name of the key's workspace");
+            }
         }
         return select(route, owner, head, names, draw);
     }
