Pass request targets on with the bytes that the client sent

Callers: a path or query with raw bytes beyond ASCII reached the upstream as other bytes, c5 82 as c3 85 c2 82.

Cause: the decoder of client requests makes one character of each byte, and the encoder of upstream requests wrote the characters as UTF-8.

Change: UpstreamRequestEncoder writes one byte for each character of such a target.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UpstreamConnector.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -72,7 +71,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder(), connection);
+                        channel.pipeline().addLast(new UpstreamRequestEncoder(), connection.decoder(), connection);
                     }
                 })
                 .connect(upstream.entry().host(), upstream.entry().port());
