Believe upstreams that announce the end of each response with its connection

Cause: the end of a connection was believed only if no upstream of the service had ever stated an end. One response with chunks, of any upstream, took that away from all others.

Evidence: the streams of the upstreams with chunks are whole and all of this one are broken off, also without a stop.

Change: AnnouncedEnds keeps for each upstream whether all its successful responses announced by Connection: close that their connection ends with them. After three orderly ends it is believed, unless the probe or the crash detector speaks against it. One other response, or one that was seen to be cut off, takes this away from the incarnation. It works since framing is a property of an upstream, and an upstream in trouble that else states ends is never believed.

--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -168,9 +168,7 @@
         head = response;
         framing = responseFraming;
         dispatcher.onNotices(upstream, response);
-        if (succeeded() && responseFraming != ResponseFraming.CONNECTION) {
-            dispatcher.framingHabit().onResponse(responseFraming);
-        }
+        endJudge.onHead(response, responseFraming);
         boolean resumeIgnored = exchange.headSent() && !isEventStream(response);
         discardOutcome =
                 UnusableResponse.of(response, dispatcher.names(), resumeIgnored).orElse(null);
@@ -339,8 +337,7 @@
             end();
             dispatcher.onOutcome(this, discarded);
         } else {
-            ResponseEnd end =
-                    endJudge.ofEnd(framing, requestWritten, bodyEnd(response), exchange.deadlineMs(), endedEvents());
+            ResponseEnd end = endJudge.ofEnd(requestWritten, bodyEnd(response), exchange.deadlineMs(), endedEvents());
             switch (end) {
                 case ResponseEnd.Complete complete -> complete(complete.evidence());
                 case ResponseEnd.CutOff cutOff -> onDisconnected(cutOff.reason());
@@ -401,15 +398,8 @@
         }
     }
 
-    /** Records an orderly end of a successful response that states none; what was cut off shows no habit. */
-    private void recordHabit() {
-        if (succeeded() && framing == ResponseFraming.CONNECTION) {
-            dispatcher.framingHabit().onResponse(framing);
-        }
-    }
-
     private void onUnconfirmedEnd() {
-        recordHabit();
+        endJudge.recordOrderlyEnd();
         exchange.forwarded().onUnconfirmedEnd();
         String reason = "the response states no end, and its connection ended";
         if (replaceable()) {
@@ -423,7 +413,7 @@
     private void complete(String evidence) {
         BufferedResponse bufferedResponse = whole;
         endProven = true;
-        recordHabit();
+        endJudge.recordOrderlyEnd();
         end();
         dispatcher.responses().onComplete(this, evidence);
         exchange.forwarded().onComplete(evidence);
@@ -465,6 +455,7 @@
             return;
         }
         end();
+        endJudge.recordFailure();
         if (!detached) {
             dispatcher.onOutcome(this, failure(reason, disconnected));
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -1,5 +1,8 @@
 package org.kingcuproad.gateway;
 
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import org.kingcuproad.policy.gateway.BodyEnd;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.FramingHabit;
@@ -13,6 +16,9 @@
     private final ServiceDispatcher dispatcher;
     private final Upstream upstream;
     private final int crashesBefore;
+    private ResponseFraming framing = ResponseFraming.NO_BODY;
+    private boolean successful;
+    private boolean recorded;
     private String evidence = "";
 
     /** Creates a judge of a response to a request that is about to be sent. */
@@ -22,27 +28,49 @@
         this.crashesBefore = upstream.crashes();
     }
 
+    /** Records the head of the response. */
+    void onHead(HttpResponse head, ResponseFraming headFraming) {
+        framing = headFraming;
+        successful = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (successful) {
+            upstream.announcedEnds().onHead(framing, !HttpUtil.isKeepAlive(head));
+            if (framing != ResponseFraming.CONNECTION) {
+                dispatcher.framingHabit().onResponse(framing);
+            }
+        }
+    }
+
+    /** Records an orderly end of the response. What was cut off shows no habit. */
+    void recordOrderlyEnd() {
+        recorded = true;
+        if (successful && framing == ResponseFraming.CONNECTION) {
+            dispatcher.framingHabit().onResponse(framing);
+            upstream.announcedEnds().onOrderlyEnd();
+        }
+    }
+
+    /** Records a failure, which shows that the response was cut off unless its end was an orderly one. */
+    void recordFailure() {
+        if (!recorded && successful && framing == ResponseFraming.CONNECTION) {
+            upstream.announcedEnds().onCutOff();
+        }
+    }
+
     /**
      * Returns whether a response is complete when its end has been read.
      *
-     * @param framing how it says where it ends
      * @param requestWritten whether the request could be written
      * @param body what the body shows about its end
      * @param deadlineMs time at which the upstream stops working on the request, in milliseconds
      */
-    ResponseEnd ofEnd(
-            ResponseFraming framing,
-            boolean requestWritten,
-            BodyEnd body,
-            long deadlineMs,
-            EndedResponse.Events events) {
+    ResponseEnd ofEnd(boolean requestWritten, BodyEnd body, long deadlineMs, EndedResponse.Events events) {
         boolean unframed = framing == ResponseFraming.CONNECTION;
         ResponseEnd end = ResponseEnd.of(
                 new EndedResponse(
                         framing,
                         requestWritten,
                         body,
-                        unframed ? dispatcher.framingHabit().kind() : FramingHabit.Kind.UNKNOWN,
+                        unframed ? habit() : FramingHabit.Kind.UNKNOWN,
                         unframed && dispatcher.anyRankCrashed(),
                         deadlineMs,
                         events),
@@ -51,6 +79,12 @@
         return end;
     }
 
+    private FramingHabit.Kind habit() {
+        return upstream.announcedEnds().believed()
+                ? FramingHabit.Kind.ENDS_WITH_CONNECTION
+                : dispatcher.framingHabit().kind();
+    }
+
     /** Returns whether the response is complete now that its upstream has been probed. */
     ResponseEnd ofProbe(ProbeResult result) {
         return ResponseEnd.ofProbed(evidence, life(result));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.kingcuproad.policy.coldstart.ColdStart;
 import org.kingcuproad.policy.evacuation.EvacuatedDataCentres;
+import org.kingcuproad.policy.gateway.AnnouncedEnds;
 import org.kingcuproad.policy.gateway.SharedRequestLimit;
 import org.kingcuproad.policy.gateway.UpstreamAvailability;
 import org.kingcuproad.policy.gateway.UpstreamEntry;
@@ -28,6 +29,7 @@
     private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
     private final SharedRequestLimit requestLimit = new SharedRequestLimit();
     private final ColdStart coldStart = new ColdStart();
+    private AnnouncedEnds announcedEnds = new AnnouncedEnds();
     private long lastSendMs;
     private int inFlight;
     private double pendingPrefillTokens;
@@ -91,6 +93,11 @@
         crashed = false;
     }
 
+    /** Returns whether the end of a connection to the upstream is that of a response. */
+    AnnouncedEnds announcedEnds() {
+        return announcedEnds;
+    }
+
     UpstreamHealth health() {
         return health;
     }
@@ -179,6 +186,7 @@
 
     /** Takes over what an upstream said of itself that is the same incarnation. */
     void inheritNotices(Upstream former) {
+        announcedEnds = former.announcedEnds;
         lastSendMs = former.lastSendMs;
         leaving = former.leaving;
         backOffUntilMs = former.backOffUntilMs;
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndedResponse.java
@@ -6,7 +6,7 @@
  * @param framing how it says where it ends
  * @param requestWritten {@code false} if the request could not be written to the upstream
  * @param body what its body shows about its own end; {@link BodyEnd#UNKNOWN} for event streams
- * @param habit how the service says where its responses end
+ * @param habit how the upstream or, unless it is believed by itself, its service says where responses end
  * @param rankCrashed whether the upstreams are ranks of a group of which one is known to have crashed
  * @param deadlineMs time at which the upstream stops working on the request, in milliseconds
  * @param events the events of an event stream, or {@link Events#NONE} for other bodies
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/ResponseEnd.java
@@ -100,7 +100,7 @@
             return new CutOff("the connection ended before the first byte of the body");
         }
         return response.habit() == FramingHabit.Kind.ENDS_WITH_CONNECTION
-                ? new Probable("the service ends all responses with their connection")
+                ? new Probable("the upstream ends all responses with their connection")
                 : new Unconfirmed();
     }
 
