Test that no status of zeros is delivered as an answer

Operators of similar systems saw a client get an upstream's status 000 as its answer. Cause there: not known. It can't happen here: a response begins only with a status line whose status is between 100 and 599, at the gateway and at the agent of the product's own interface.

Change: cases for lookups, orders and streams, after an informational response, before another response and without framing. No code changed.

--- a/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ImproperUpstreamResponseTest.java
+++ b/kingcuproad-agent/src/test/java/org/kingcuproad/agent/ImproperUpstreamResponseTest.java
@@ -36,6 +36,8 @@
                 line("status of two digits", "HTTP/1.1 20 OK"),
                 line("status with a sign", "HTTP/1.1 +200 OK"),
                 line("status out of range", "HTTP/1.1 700 OK"),
+                line("status of zeros", "HTTP/1.1 000 OK"),
+                line("status of zeros without a reason", "HTTP/1.1 000"),
                 line("two spaces before the status", "HTTP/1.1  200 OK"),
                 line("another major version", "HTTP/9.9 200 OK"),
                 line("version in lower case", "http/1.1 200 OK"),
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ImproperResponseTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ImproperResponseTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against reading a success from bytes that are no response of the protocol to the request. */
 class ImproperResponseTest {
@@ -20,6 +21,9 @@
     private static final String CHUNKED_BODY = "\r\n4\r\nbody\r\n0\r\n\r\n";
     private static final String OK = "HTTP/1.1 200 OK\r\n" + ID + GatewayFixture.SEAL + LENGTH + BODY;
 
+    private static final String ZEROS = OK.replace("200 OK", "000 ");
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
     private final GatewayFixture fixture;
 
     ImproperResponseTest() throws IOException {
@@ -49,6 +53,11 @@
                 Arguments.of("status of two digits", withStatusLine("HTTP/1.1 20 OK")),
                 Arguments.of("status with a sign", withStatusLine("HTTP/1.1 +200 OK")),
                 Arguments.of("status out of range", withStatusLine("HTTP/1.1 700 OK")),
+                Arguments.of("status of zeros", withStatusLine("HTTP/1.1 000 OK")),
+                Arguments.of("status of zeros without a reason", withStatusLine("HTTP/1.1 000")),
+                Arguments.of("status of zeros after an informational one", CONTINUE + ZEROS),
+                Arguments.of("status of zeros without framing", ZEROS.replace(LENGTH, "Connection: close\r\n")),
+                Arguments.of("status of zeros before the response", ZEROS + OK),
                 Arguments.of("two spaces before the status", withStatusLine("HTTP/1.1  200 OK")),
                 Arguments.of("another major version", withStatusLine("HTTP/9.9 200 OK")),
                 Arguments.of("version in lower case", withStatusLine("http/1.1 200 OK")),
@@ -88,6 +97,16 @@
         assertThat(fixture.get("/IDEMPOTENT/a", "k1", "r1").status()).isEqualTo(BAD_GATEWAY);
     }
 
+    /** Guards against an upstream's status of zeros that a client gets as the answer to an order or a stream. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/NON_IDEMPOTENT/order", "/STREAMING/draft"})
+    void deliversNoStatusOfZeros(String path) throws Exception {
+        fixture.upstream(request -> reply(request, ZEROS));
+        fixture.start();
+
+        assertThat(fixture.post(path, "r1", "prompt").status()).isEqualTo(BAD_GATEWAY);
+    }
+
     @Test
     void deliversTheProperResponse() throws Exception {
         fixture.upstream(request -> reply(request, OK));
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/StatusLineTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/StatusLineTest.java
@@ -35,6 +35,8 @@
                 "HTTP/1.1 2000 OK",
                 "HTTP/1.1 200OK",
                 "HTTP/1.1 099 X",
+                "HTTP/1.1 000 X",
+                "HTTP/1.1 000",
                 "HTTP/1.1 600 X",
                 "HTTP/1.1 200 O\u0000K",
                 "HTTP/1.1 200 OK\r\r",
