--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/AnnouncedEnds.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/AnnouncedEnds.java
@@ -5,7 +5,8 @@
  *
  * <p>This answers the load of a service of which only some upstreams state where their responses end. An upstream is
  * believed if all its successful responses have announced that their connection ends with them, several have ended in
- * an orderly way, and none was seen to be cut off.
+ * an orderly way, and none was seen to be cut off. {@link FramingHabit} is the same for a service as a whole, whose
+ * upstreams need not announce anything.
  */
 public final class AnnouncedEnds {
 
