--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Attempt.java
@@ -15,6 +15,7 @@
 import org.kingcuproad.policy.gateway.ResponseFraming;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.StreamEvent;
+import org.kingcuproad.policy.gateway.UpstreamLife;
 
 /**
  * One attempt to run a request at an upstream, until its response has ended. All methods are called on the event loop.
@@ -374,7 +375,7 @@
     private void probeEnd() {
         if (upstream.mayEndAsPlanned()) {
             // That it no longer listens would say nothing, so there is nothing that speaks against a crash either.
-            onUnconfirmedEnd();
+            onUnconfirmedEnd(UpstreamLife.ENDS_AS_PLANNED);
         } else {
             confirming = true;
             dispatcher.confirmEnd(this);
@@ -390,18 +391,19 @@
             end();
             return;
         }
-        switch (endJudge.ofProbe(result)) {
+        UpstreamLife life = endJudge.life(result);
+        switch (endJudge.ofProbe(life)) {
             case ResponseEnd.Complete complete -> complete(complete.evidence());
             case ResponseEnd.CutOff cutOff -> onFailure(cutOff.reason());
-            case ResponseEnd.Unconfirmed unconfirmed -> onUnconfirmedEnd();
-            case ResponseEnd.Probable probable -> onUnconfirmedEnd();
+            case ResponseEnd.Unconfirmed unconfirmed -> onUnconfirmedEnd(life);
+            case ResponseEnd.Probable probable -> onUnconfirmedEnd(life);
         }
     }
 
-    private void onUnconfirmedEnd() {
+    private void onUnconfirmedEnd(UpstreamLife life) {
         endJudge.recordOrderlyEnd();
         exchange.forwarded().onUnconfirmedEnd();
-        String reason = "the response states no end, and its connection ended";
+        String reason = "the response states no end, and its connection ended (upstream: " + life + ")";
         if (replaceable()) {
             end();
             dispatcher.onOutcome(this, new AttemptOutcome.Unconfirmed(reason));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
@@ -1,5 +1,6 @@
 package org.kingcuproad.gateway;
 
+import org.kingcuproad.policy.gateway.RetryDecision;
 import org.kingcuproad.policy.gateway.RetryPolicy;
 import org.kingcuproad.policy.gateway.WindowedRetryBudget;
 
@@ -18,42 +19,49 @@
     }
 
     /**
-     * Returns whether a request is sent again, and charges the budget if so.
+     * Decides whether a request is sent again, and charges the budget if so.
      *
      * @param upstream upstream of the attempt that has ended
      * @param outcome how it ended
      * @param nowMs current time, in milliseconds
      */
-    boolean mayRetry(Exchange exchange, Upstream upstream, AttemptOutcome outcome, long nowMs) {
+    RetryDecision decide(Exchange exchange, Upstream upstream, AttemptOutcome outcome, long nowMs) {
         return switch (outcome) {
-            case AttemptOutcome.BrokenOff broken -> false;
+            case AttemptOutcome.BrokenOff broken -> RetryDecision.NOT_REPEATABLE;
             // A request that reached no upstream caused no load, so its retry does not count against the budget.
-            case AttemptOutcome.NotSent notSent -> retryPossible(exchange, nowMs);
+            case AttemptOutcome.NotSent notSent -> withoutBudget(exchange, nowMs);
             // The budget was charged before the attempt was cancelled.
-            case AttemptOutcome.Stalled stalled -> retryPossible(exchange, nowMs);
-            case AttemptOutcome.NotRun notRun -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
-            case AttemptOutcome.Lost lost -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
-            case AttemptOutcome.Unconfirmed unconfirmed -> mayConfirm(exchange, upstream, nowMs);
-            case AttemptOutcome.Failed failed -> retryPossible(exchange, nowMs) && budget.tryAcquire(nowMs);
+            case AttemptOutcome.Stalled stalled -> withoutBudget(exchange, nowMs);
+            case AttemptOutcome.NotRun notRun -> charged(withoutBudget(exchange, nowMs), nowMs);
+            case AttemptOutcome.Lost lost -> charged(withoutBudget(exchange, nowMs), nowMs);
+            case AttemptOutcome.Unconfirmed unconfirmed -> ofConfirmation(exchange, upstream, nowMs);
+            case AttemptOutcome.Failed failed -> charged(withoutBudget(exchange, nowMs), nowMs);
         };
     }
 
-    private boolean retryPossible(Exchange exchange, long nowMs) {
-        return RetryPolicy.mayRetry(
-                        exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs)
-                && upstreams.anyAdmitted(exchange);
+    private RetryDecision charged(RetryDecision uncharged, long nowMs) {
+        return uncharged == RetryDecision.AGAIN && !budget.tryAcquire(nowMs) ? RetryDecision.BUDGET_SPENT : uncharged;
     }
 
-    /** Returns whether another upstream is asked, or the same one once more if no other one can be. */
-    private boolean mayConfirm(Exchange exchange, Upstream upstream, long nowMs) {
-        if (retryPossible(exchange, nowMs)) {
-            return budget.tryAcquire(nowMs);
+    private RetryDecision withoutBudget(Exchange exchange, long nowMs) {
+        RetryDecision decision = RetryPolicy.decide(
+                exchange.route(), exchange.sends(), exchange.mayHaveRun(), exchange.deadlineMs() - nowMs);
+        return decision == RetryDecision.AGAIN && !upstreams.anyAdmitted(exchange)
+                ? RetryDecision.NO_UPSTREAM
+                : decision;
+    }
+
+    /** Decides whether another upstream is asked, or the same one once more if no other one can be. */
+    private RetryDecision ofConfirmation(Exchange exchange, Upstream upstream, long nowMs) {
+        RetryDecision elsewhere = withoutBudget(exchange, nowMs);
+        if (elsewhere == RetryDecision.AGAIN || !confirmable(exchange, upstream, nowMs)) {
+            return charged(elsewhere, nowMs);
         }
-        boolean again = confirmable(exchange, upstream, nowMs) && budget.tryAcquire(nowMs);
-        if (again) {
+        RetryDecision here = charged(RetryDecision.AGAIN, nowMs);
+        if (here == RetryDecision.AGAIN) {
             exchange.confirmAt(upstream.entry().id());
         }
-        return again;
+        return here;
     }
 
     private static boolean confirmable(Exchange exchange, Upstream upstream, long nowMs) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -93,11 +93,12 @@
     }
 
     /** Returns whether the response is complete now that its upstream has been probed. */
-    ResponseEnd ofProbe(ProbeResult result) {
-        return ResponseEnd.ofProbed(evidence, life(result));
+    ResponseEnd ofProbe(UpstreamLife life) {
+        return ResponseEnd.ofProbed(evidence, life);
     }
 
-    private UpstreamLife life(ProbeResult result) {
+    /** Returns what is known of the upstream when it has been probed. */
+    UpstreamLife life(ProbeResult result) {
         if (result == ProbeResult.REFUSED || upstream.replaced() || upstream.crashes() > crashesBefore) {
             return UpstreamLife.ENDED;
         }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/ServiceDispatcher.java
@@ -16,6 +16,7 @@
 import org.kingcuproad.policy.gateway.GatewayConfiguration;
 import org.kingcuproad.policy.gateway.RequestQueue;
 import org.kingcuproad.policy.gateway.RetryAfter;
+import org.kingcuproad.policy.gateway.RetryDecision;
 import org.kingcuproad.policy.gateway.RetryPolicy;
 import org.kingcuproad.policy.gateway.RouteKind;
 import org.kingcuproad.policy.gateway.ServiceConfiguration;
@@ -347,7 +348,7 @@
         exchange.setLastFailure(outcome.reason());
         long nowMs = nowMs();
         outcomeRecorder.record(attempt, outcome, nowMs);
-        boolean retry = retries.mayRetry(exchange, attempt.upstream(), outcome, nowMs);
+        RetryDecision decision = retries.decide(exchange, attempt.upstream(), outcome, nowMs);
         ResponseSummary response = attempt.summary();
         gateway.metrics().count("attempts_failed_" + outcome.getClass().getSimpleName());
         gateway.log()
@@ -367,12 +368,14 @@
                 .field("lastEvent", exchange.lastEventId())
                 .field("inFlight", attempt.upstream().inFlight())
                 .field("prompt", String.join(",", exchange.promptParts()))
-                .field("again", retry)
+                .field("again", decision == RetryDecision.AGAIN)
+                .field("retry", decision.toString())
                 .write();
-        if (retry) {
+        if (decision == RetryDecision.AGAIN) {
             queue.add(exchange);
             gateway.execute(this::dispatch);
         } else {
+            gateway.metrics().count("retries_denied_" + decision);
             endWithoutResponse(exchange, attempt, outcome);
         }
     }
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
@@ -43,7 +43,25 @@
      *     against the rules of its route
      */
     public static boolean mayRetry(GatewayRoute route, int sends, boolean mayHaveRun, long remainingMs) {
-        return sends < route.attempts() && remainingMs > MIN_REMAINING_MS && (route.retryable() || !mayHaveRun);
+        return decide(route, sends, mayHaveRun, remainingMs) == RetryDecision.AGAIN;
+    }
+
+    /**
+     * Decides whether a request may be sent to another upstream, as far as the request itself is concerned.
+     *
+     * @param route route of the request
+     * @param sends number of upstreams that the request was sent to
+     * @param mayHaveRun whether the request may have run at one of them
+     * @param remainingMs time that the client will still wait, in milliseconds
+     */
+    public static RetryDecision decide(GatewayRoute route, int sends, boolean mayHaveRun, long remainingMs) {
+        if (!route.retryable() && mayHaveRun) {
+            return RetryDecision.NOT_REPEATABLE;
+        }
+        if (remainingMs <= MIN_REMAINING_MS) {
+            return RetryDecision.TOO_LATE;
+        }
+        return sends < route.attempts() ? RetryDecision.AGAIN : RetryDecision.ATTEMPTS_SPENT;
     }
 
     /**
