--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -88,6 +88,7 @@
             recordNoRest();
         } else if (!pausedBeforeEnd) {
             // A group cuts streams off some time after it has stopped, and its ranks go on listening.
+            dispatcher.unstatedEnds().confirmations().onOrderlyEnd();
             forwarded.onUnstatedEnd(new UnstatedEnd(upstream, crashesBefore, status, trailingBytes));
         }
     }
@@ -95,6 +96,7 @@
     /** Records that the response has ended without an event that the client had not received. */
     void recordNoRest() {
         if (asksForRest && framing == ResponseFraming.CONNECTION) {
+            dispatcher.unstatedEnds().confirmations().onOrderlyEnd();
             dispatcher.unstatedEnds().confirmations().onUnstated();
         } else if (asksForRest) {
             dispatcher.unstatedEnds().confirmations().onStated();
@@ -116,6 +118,7 @@
     void recordFailure() {
         if (!recorded && successful && framing == ResponseFraming.CONNECTION) {
             upstream.announcedEnds().onCutOff();
+            dispatcher.unstatedEnds().confirmations().onCutOff(dispatcher.nowMs());
         }
     }
 
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Gateway.java
@@ -70,6 +70,7 @@
     private final QuarantineStore quarantineStore;
     private final UpstreamLimits upstreamLimits;
     private final Map<String, ServiceDispatcher> dispatchers = new HashMap<>();
+    private final EndReports endReports;
     private final ClientConnections connections = new ClientConnections();
     private final HeldMemory memory;
     private @Nullable ClientListener listener;
@@ -104,6 +105,7 @@
         this.storeWatchers = new StoreWatchers(eventLoop, clock, settings, dialect, storeView, metrics, log);
         this.peerChannel = new PeerChannel(log, settings.name(), peerLoads, new PeerReportHandler(this), clock);
         this.upstreamLimits = new UpstreamLimits(settings.name(), this::allUpstreams, peerChannel::send, log);
+        this.endReports = new EndReports(settings.name(), dispatchers, peerChannel::send);
         this.quarantineStore = new QuarantineStore(
                 eventLoop,
                 clock,
@@ -248,6 +250,10 @@
         peerChannel.send(report);
     }
 
+    EndReports endReports() {
+        return endReports;
+    }
+
     UpstreamLimits upstreamLimits() {
         return upstreamLimits;
     }
@@ -448,6 +454,7 @@
         storeView.sweep(nowMs);
         List.copyOf(dispatchers.values()).forEach(dispatcher -> dispatcher.sweep(nowMs));
         upstreamLimits.report(nowMs);
+        endReports.report(nowMs);
         engineGroups.logChanges("time", nowMs);
         memory.admitBodies(nowMs);
         connections.list().forEach(connection -> connection.sweep(nowMs));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerChannel.java
@@ -67,6 +67,8 @@
 
         void onLimitReport(LimitReport report);
 
+        void onEndReport(EndReport report);
+
         /** Receives how long another gateway has been in contact with the store. */
         void onStoreContact(StoreContact.Report report);
     }
@@ -117,6 +119,11 @@
         broadcast(() -> LimitReportCodec.encode(report));
     }
 
+    /** Sends a report about ends of streams to all known peers. */
+    void send(EndReport report) {
+        broadcast(() -> EndReportCodec.encode(report));
+    }
+
     private void broadcast(Supplier<ByteBuf> message) {
         Channel open = channel;
         var addresses = loads.addresses(clock.steadyMs());
@@ -161,6 +168,7 @@
             try {
                 switch (message.getUnsignedByte(message.readerIndex())) {
                     case CrashReportCodec.TYPE -> listener.onCrashReport(crashReportReader.read(message));
+                    case EndReportCodec.TYPE -> listener.onEndReport(EndReportCodec.decode(message));
                     case GroupReportCodec.TYPE ->
                         listener.onGroupReport(packet.sender().getHostString(), GroupReportCodec.decode(message));
                     case LimitReportCodec.TYPE -> listener.onLimitReport(LimitReportCodec.decode(message));
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/PeerReportHandler.java
@@ -39,6 +39,11 @@
         gateway.upstreamLimits().onReport(report, gateway.clock().steadyMs());
     }
 
+    @Override
+    public void onEndReport(EndReport report) {
+        gateway.endReports().onReport(report, gateway.clock().steadyMs());
+    }
+
     @Override
     public void onStoreContact(StoreContact.Report report) {
         gateway.storeContact().onPeerReport(report, gateway.clock().steadyMs());
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UnstatedEnds.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UnstatedEnds.java
@@ -13,8 +13,8 @@
  */
 final class UnstatedEnds {
 
-    /** Half of the shortest time after which clients abandon a stream without an event, in milliseconds. */
-    private static final long MAX_WAIT_MS = 1_000;
+    /** Clients abandon a stream after 2 s without an event, and a question takes some hundred milliseconds. */
+    private static final long MAX_WAIT_MS = 1_500;
 
     private final Gateway gateway;
     private final ServiceDispatcher dispatcher;
