--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -145,11 +145,17 @@
         return end;
     }
 
-    /** An upstream is believed by itself only if nobody can be asked for what follows the end. */
+    /**
+     * An upstream is believed by itself only if nobody can be asked for what follows the end, and a service that never
+     * states ends only as long as none was refuted.
+     */
     private FramingHabit.Kind habit() {
-        return unrepeatableStream && upstream.announcedEnds().believed()
-                ? FramingHabit.Kind.ENDS_WITH_CONNECTION
-                : dispatcher.framingHabit().kind();
+        if (unrepeatableStream && upstream.announcedEnds().believed()) {
+            return FramingHabit.Kind.ENDS_WITH_CONNECTION;
+        }
+        FramingHabit.Kind habit = dispatcher.framingHabit().kind();
+        boolean refuted = dispatcher.unstatedEnds().confirmations().refuted(dispatcher.nowMs());
+        return habit == FramingHabit.Kind.ENDS_WITH_CONNECTION && refuted ? FramingHabit.Kind.UNKNOWN : habit;
     }
 
     /** Returns whether the response is complete now that its upstream has been probed. */
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
@@ -146,6 +146,31 @@
         assertThat(receivedStream()).contains("id: 2").doesNotEndWith(TERMINATOR);
     }
 
+    /** The service never states an end, which is believed after some responses. */
+    @Test
+    void completesNoCutStreamOfAServiceThatStatesNoEndsAfterAnotherEndWasRefuted() throws Exception {
+        fixture.setRetrySlack(2_000);
+        StreamingUpstream.Script script = (request, output) -> {
+            writeHead(request, output, "text/event-stream");
+            boolean cut = FakeUpstream.header(request, "X-Request").startsWith("cut");
+            output.write(resumed(request) ? "" : "id: 1\ndata: e\n\nid: 2\ndata: e\n\n");
+            output.write(resumed(request) == cut ? "id: 3\ndata: e\n\n" : "");
+            throw new EOFException("end of the connection");
+        };
+        fixture.streamingUpstream(script);
+        fixture.streamingUpstream(script);
+        fixture.start();
+        fixture.received(GatewayFixture.postRequest("/STREAMING/draft", "cut-first", "prompt"));
+        for (int i = 0; i < 25; i++) {
+            fixture.received(GatewayFixture.postRequest("/STREAMING/draft", "r" + i, "prompt"));
+        }
+        String received = new String(
+                fixture.received(GatewayFixture.postRequest("/STREAMING/draft", "cut", "prompt")),
+                StandardCharsets.UTF_8);
+
+        assertThat(received).contains("id: 2").contains("id: 3");
+    }
+
     @Test
     void deliversNoPartOfAJsonTextOfAServiceThatStatesNoEnds() throws Exception {
         fixture.streamingUpstream((request, output) -> {
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
@@ -42,7 +42,8 @@
     private final Map<String, Received> reports = new HashMap<>();
     private int ends;
     private int evidence;
-    private long distrustedUntilMs = NEVER;
+    private long troubledUntilMs = NEVER;
+    private long refutedUntilMs = NEVER;
 
     /**
      * What one gateway has seen itself.
@@ -79,7 +80,8 @@
      * @param nowMs current time, in milliseconds
      */
     public void onCutOff(long nowMs) {
-        distrust(nowMs + TROUBLE_MS);
+        forget();
+        troubledUntilMs = nowMs + TROUBLE_MS;
     }
 
     /**
@@ -88,13 +90,22 @@
      * @param nowMs current time, in milliseconds
      */
     public void onRefuted(long nowMs) {
-        distrust(nowMs + DISTRUST_MS);
+        forget();
+        refutedUntilMs = nowMs + DISTRUST_MS;
     }
 
-    private void distrust(long untilMs) {
+    private void forget() {
         ends = 0;
         evidence = 0;
-        distrustedUntilMs = Math.max(distrustedUntilMs, untilMs);
+    }
+
+    /**
+     * Returns whether this gateway has seen an end refuted not long ago.
+     *
+     * @param nowMs current time, in milliseconds
+     */
+    public boolean refuted(long nowMs) {
+        return nowMs < refutedUntilMs;
     }
 
     /**
@@ -115,7 +126,7 @@
      * @return its report, or empty if it has seen nothing
      */
     public Optional<Report> report(long nowMs) {
-        Report own = new Report(ends, evidence, nowMs < distrustedUntilMs);
+        Report own = new Report(ends, evidence, nowMs < troubledUntilMs || refuted(nowMs));
         return own.ends > 0 || own.evidence > 0 || own.distrusted ? Optional.of(own) : Optional.empty();
     }
 
