--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
@@ -36,6 +36,11 @@
      * @param nowMs current time, in milliseconds
      */
     RetryDecision decide(Exchange exchange, Upstream upstream, AttemptOutcome outcome, long nowMs) {
+        UnstatedEnd end = exchange.forwarded().unstatedEnd();
+        if (end != null && !(outcome instanceof AttemptOutcome.Unconfirmed)) {
+            // The question about the end has no answer, so the upstream that ended the stream can still be asked.
+            return ofConfirmation(exchange, end.upstream(), nowMs);
+        }
         return switch (outcome) {
             case AttemptOutcome.BrokenOff broken -> RetryDecision.NOT_REPEATABLE;
             // A request that reached no upstream caused no load, so its retry does not count against the budget.
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/WholeStreamLossTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/WholeStreamLossTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -158,6 +159,22 @@
         assertThat(streams("unstated", 5)).allMatch(received -> received.endsWith(TERMINATOR));
     }
 
+    @Test
+    void losesNoWholeStreamWhoseQuestionIsRejected() throws Exception {
+        AtomicBoolean rejected = new AtomicBoolean();
+        startWith((request, output) -> {
+            if (resumed(request) && rejected.compareAndSet(false, true)) {
+                output.write(FakeUpstream.response(
+                        FakeUpstream.header(request, "X-Request"), 503, "X-Not-Run: 1\r\n", "full"));
+                return;
+            }
+            confirmed().respond(request, output);
+        });
+
+        assertThat(stream("r1")).endsWith(TERMINATOR);
+        assertThat(rejected).isTrue();
+    }
+
     /** No answer states an end, and only another gateway knows of streams that were confirmed. */
     @Test
     void losesNoWholeStreamOfAGatewayThatHasJustStarted() throws Exception {
