--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
@@ -36,24 +36,27 @@
      * @param nowMs current time, in milliseconds
      */
     RetryDecision decide(Exchange exchange, Upstream upstream, AttemptOutcome outcome, long nowMs) {
-        UnstatedEnd end = exchange.forwarded().unstatedEnd();
-        if (end != null && !(outcome instanceof AttemptOutcome.Unconfirmed)) {
-            // The question about the end has no answer, so the upstream that ended the stream can still be asked.
-            return ofConfirmation(exchange, end.upstream(), nowMs);
-        }
         return switch (outcome) {
             case AttemptOutcome.BrokenOff broken -> RetryDecision.NOT_REPEATABLE;
             // A request that reached no upstream caused no load, so its retry does not count against the budget.
             case AttemptOutcome.NotSent notSent -> withoutBudget(exchange, nowMs);
             // The budget was charged before the attempt was cancelled.
             case AttemptOutcome.Stalled stalled -> withoutBudget(exchange, nowMs);
-            case AttemptOutcome.NotRun notRun -> charged(withoutBudget(exchange, nowMs), nowMs);
-            case AttemptOutcome.Lost lost -> charged(withoutBudget(exchange, nowMs), nowMs);
+            case AttemptOutcome.NotRun notRun -> afterFailure(exchange, nowMs);
+            case AttemptOutcome.Lost lost -> afterFailure(exchange, nowMs);
             case AttemptOutcome.Unconfirmed unconfirmed -> ofConfirmation(exchange, upstream, nowMs);
-            case AttemptOutcome.Failed failed -> charged(withoutBudget(exchange, nowMs), nowMs);
+            case AttemptOutcome.Failed failed -> afterFailure(exchange, nowMs);
         };
     }
 
+    /** A question about the end of a stream that has no answer can still be put to the upstream that ended it. */
+    private RetryDecision afterFailure(Exchange exchange, long nowMs) {
+        UnstatedEnd end = exchange.forwarded().unstatedEnd();
+        return end == null
+                ? charged(withoutBudget(exchange, nowMs), nowMs)
+                : ofConfirmation(exchange, end.upstream(), nowMs);
+    }
+
     private RetryDecision charged(RetryDecision uncharged, long nowMs) {
         return uncharged == RetryDecision.AGAIN && !budget.tryAcquire(nowMs) ? RetryDecision.BUDGET_SPENT : uncharged;
     }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/ConfirmedEndTest.java
@@ -146,6 +146,21 @@
         assertThat(receivedStream()).contains("id: 2").doesNotEndWith(TERMINATOR);
     }
 
+    /** Another upstream would send them all again. */
+    @Test
+    void repeatsNoEventsWithoutIdsOfAStreamThatStatesNoEnd() throws Exception {
+        StreamingUpstream.Script script = (request, output) -> {
+            writeHead(request, output, "text/event-stream");
+            output.write("data: a\n\n");
+            throw new EOFException("end of the connection");
+        };
+        fixture.streamingUpstream(script);
+        fixture.streamingUpstream(script);
+        fixture.start();
+
+        assertThat(receivedStream()).containsOnlyOnce("data: a");
+    }
+
     /** The service never states an end, which is believed after some responses. */
     @Test
     void completesNoCutStreamOfAServiceThatStatesNoEndsAfterAnotherEndWasRefuted() throws Exception {
