--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -88,7 +88,7 @@
             recordNoRest();
         } else if (!pausedBeforeEnd) {
             // A group cuts streams off some time after it has stopped, and its ranks go on listening.
-            dispatcher.unstatedEnds().confirmations().onOrderlyEnd();
+            dispatcher.unstatedEnds().confirmations().onOrderlyEnd(dispatcher.nowMs());
             forwarded.onUnstatedEnd(new UnstatedEnd(upstream, crashesBefore, status, trailingBytes));
         }
     }
@@ -96,7 +96,7 @@
     /** Records that the response has ended without an event that the client had not received. */
     void recordNoRest() {
         if (asksForRest && framing == ResponseFraming.CONNECTION) {
-            dispatcher.unstatedEnds().confirmations().onOrderlyEnd();
+            dispatcher.unstatedEnds().confirmations().onOrderlyEnd(dispatcher.nowMs());
             dispatcher.unstatedEnds().confirmations().onUnstated();
         } else if (asksForRest) {
             dispatcher.unstatedEnds().confirmations().onStated();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
@@ -34,6 +34,9 @@
     /** Time after an end was refuted for which none is believed, in milliseconds. */
     static final long DISTRUST_MS = 60_000;
 
+    /** Time after the last end for which what was seen counts, in milliseconds. */
+    static final long MEMORY_MS = 60_000;
+
     /** Time for which a report of another gateway counts; several report intervals long, in milliseconds. */
     static final long REPORT_VALIDITY_MS = 1_500;
 
@@ -42,6 +45,7 @@
     private final Map<String, Received> reports = new HashMap<>();
     private int ends;
     private int evidence;
+    private long lastEndMs = NEVER;
     private long troubledUntilMs = NEVER;
     private long refutedUntilMs = NEVER;
 
@@ -59,9 +63,15 @@
     /** Creates an instance for a service of which nothing is known yet. */
     public EndConfirmations() {}
 
-    /** Records an end between two events of an upstream that goes on listening. */
-    public void onOrderlyEnd() {
+    /**
+     * Records an end between two events of an upstream that goes on listening.
+     *
+     * @param nowMs current time, in milliseconds
+     */
+    public void onOrderlyEnd(long nowMs) {
+        forgetOldEnds(nowMs);
         ends = Math.min(ends + 1, MIN_ENDS);
+        lastEndMs = nowMs;
     }
 
     /** Records an answer that states its own end and has no further event. */
@@ -94,6 +104,12 @@
         refutedUntilMs = nowMs + DISTRUST_MS;
     }
 
+    private void forgetOldEnds(long nowMs) {
+        if (lastEndMs != NEVER && nowMs - lastEndMs >= MEMORY_MS) {
+            forget();
+        }
+    }
+
     private void forget() {
         ends = 0;
         evidence = 0;
@@ -126,6 +142,7 @@
      * @return its report, or empty if it has seen nothing
      */
     public Optional<Report> report(long nowMs) {
+        forgetOldEnds(nowMs);
         Report own = new Report(ends, evidence, nowMs < troubledUntilMs || refuted(nowMs));
         return own.ends > 0 || own.evidence > 0 || own.distrusted ? Optional.of(own) : Optional.empty();
     }
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EndConfirmationsTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EndConfirmationsTest.java
@@ -16,11 +16,15 @@
     private final EndConfirmations confirmations = new EndConfirmations();
 
     private void seeEnds(int count) {
-        IntStream.range(0, count).forEach(end -> confirmations.onOrderlyEnd());
+        IntStream.range(0, count).forEach(end -> confirmations.onOrderlyEnd(NOW_MS));
     }
 
     private void confirm() {
-        seeEnds(EndConfirmations.MIN_ENDS);
+        confirm(NOW_MS);
+    }
+
+    private void confirm(long nowMs) {
+        IntStream.range(0, EndConfirmations.MIN_ENDS).forEach(end -> confirmations.onOrderlyEnd(nowMs));
         confirmations.onStated();
         confirmations.onStated();
     }
@@ -54,7 +58,7 @@
     void believesNoEndForAWhileAfterOneWasRefuted() {
         confirm();
         confirmations.onRefuted(NOW_MS);
-        confirm();
+        confirm(NOW_MS + EndConfirmations.DISTRUST_MS - 1);
         assertThat(confirmations.believed(NOW_MS + EndConfirmations.DISTRUST_MS - 1))
                 .isFalse();
         assertThat(confirmations.believed(NOW_MS + EndConfirmations.DISTRUST_MS))
@@ -75,7 +79,7 @@
     void distrustsAtLeastAsLongAsAfterTheRefutationIfAResponseIsCutOffLater() {
         confirmations.onRefuted(NOW_MS);
         confirmations.onCutOff(NOW_MS + 1);
-        confirm();
+        confirm(NOW_MS + EndConfirmations.DISTRUST_MS - 1);
         assertThat(confirmations.believed(NOW_MS + EndConfirmations.DISTRUST_MS - 1))
                 .isFalse();
     }
@@ -88,6 +92,15 @@
                 .isFalse();
     }
 
+    @Test
+    void forgetsEndsThatWereSeenLongAgo() {
+        confirm();
+        assertThat(confirmations.believed(NOW_MS + EndConfirmations.MEMORY_MS - 1))
+                .isTrue();
+        assertThat(confirmations.believed(NOW_MS + EndConfirmations.MEMORY_MS)).isFalse();
+        assertThat(confirmations.report(NOW_MS + EndConfirmations.MEMORY_MS)).isEmpty();
+    }
+
     @Test
     void judgesByWhatAllGatewaysHaveSeenTogether() {
         seeEnds(8);
