--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
@@ -8,9 +8,15 @@
 /** Decides whether requests of a service are sent again after an attempt without a usable response. */
 final class AttemptRetries {
 
-    /** Each one costs a run; an upstream that can't say twice where its response ends won't do so later. */
+    /** Bounds the runs that a body without a stated end costs; it is repeated as a whole each time. */
     private static final int MAX_CONFIRMATIONS = 2;
 
+    /**
+     * Bounds the questions about the end of one stream. An upstream may state the end of the next response, and one
+     * without a further event costs little.
+     */
+    private static final int MAX_STREAM_CONFIRMATIONS = 6;
+
     /** Share of the budget for questions whose answers can be missed; the rest is for requests that have failed. */
     private static final double OPTIONAL_SHARE = 0.5;
 
@@ -62,7 +68,8 @@
     }
 
     private RetryDecision chargedForConfirmation(RetryDecision uncharged, Exchange exchange, long nowMs) {
-        boolean optional = exchange.forwarded().unstatedEnd() != null && endConfirmations.believed(nowMs);
+        boolean believed = exchange.forwarded().unstatedEnd() != null && endConfirmations.believed(nowMs);
+        boolean optional = believed || exchange.confirmations() >= MAX_CONFIRMATIONS;
         return uncharged == RetryDecision.AGAIN && !budget.tryAcquire(nowMs, optional ? OPTIONAL_SHARE : 1)
                 ? RetryDecision.BUDGET_SPENT
                 : uncharged;
@@ -90,8 +97,10 @@
     }
 
     private static boolean confirmable(Exchange exchange, Upstream upstream, long nowMs) {
+        int maxConfirmations =
+                exchange.forwarded().unstatedEnd() == null ? MAX_CONFIRMATIONS : MAX_STREAM_CONFIRMATIONS;
         return upstream.usable()
-                && exchange.confirmations() < MAX_CONFIRMATIONS
+                && exchange.confirmations() < maxConfirmations
                 && RetryPolicy.mayConfirm(exchange.route(), exchange.deadlineMs() - nowMs);
     }
 }
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/EndReportCodecTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/EndReportCodecTest.java
@@ -14,7 +14,7 @@
             "g1",
             Map.of(
                     "desk",
-                    new EndConfirmations.Report(20, 6, false),
+                    new EndConfirmations.Report(20, 8, false),
                     "engines",
                     new EndConfirmations.Report(0, 0, true)));
 
--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/WholeStreamLossTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/WholeStreamLossTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -32,7 +33,10 @@
     private static final long EVENT_INTERVAL_MS = 5;
     private static final long PAUSE_MS = 700;
 
-    private static final EndConfirmations.Report SEEN_ELSEWHERE = new EndConfirmations.Report(20, 6, false);
+    /** More than a route with two attempts and two more questions gets. */
+    private static final int UNSTATED_ANSWERS = 4;
+
+    private static final EndConfirmations.Report SEEN_ELSEWHERE = new EndConfirmations.Report(20, 8, false);
 
     /** Number of streams after which a gateway knows what to expect. */
     private static final int FIRST_STREAMS = 20;
@@ -159,6 +163,19 @@
         assertThat(streams("unstated", 5)).allMatch(received -> received.endsWith(TERMINATOR));
     }
 
+    @Test
+    void losesNoWholeStreamWhoseFirstAnswersStateNoEnd() throws Exception {
+        AtomicInteger answers = new AtomicInteger();
+        startWith((request, output) -> {
+            boolean stated = FakeUpstream.header(request, "X-Request").startsWith("stated")
+                    || (resumed(request) && answers.incrementAndGet() > UNSTATED_ANSWERS);
+            (stated ? chunked() : unframed(EVENTS)).respond(request, output);
+        });
+        streams("stated", 1);
+
+        assertThat(stream("r1")).endsWith(TERMINATOR);
+    }
+
     @Test
     void losesNoWholeStreamWhoseQuestionIsRejected() throws Exception {
         AtomicBoolean rejected = new AtomicBoolean();
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
@@ -20,10 +20,10 @@
     static final int MIN_ENDS = 20;
 
     /** Evidence of answers from which ends are believed: more than the questions about one stream can give. */
-    static final int MIN_EVIDENCE = 6;
+    static final int MIN_EVIDENCE = 8;
 
     /** Evidence of an answer that states that nothing follows. */
-    static final int STATED_EVIDENCE = 3;
+    static final int STATED_EVIDENCE = 4;
 
     /** Evidence of an answer that may itself have been cut off before its first event. */
     static final int UNSTATED_EVIDENCE = 1;
--- a/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EndConfirmationsTest.java
+++ b/kingcuproad-policy/src/test/java/org/kingcuproad/policy/gateway/EndConfirmationsTest.java
@@ -10,8 +10,8 @@
 
     private static final long NOW_MS = 1_000;
 
-    /** A route with two attempts asks three times about one stream. */
-    private static final int QUESTIONS_OF_ONE_STREAM = 3;
+    /** A route with two attempts asks seven times about one stream. */
+    private static final int QUESTIONS_OF_ONE_STREAM = 7;
 
     private final EndConfirmations confirmations = new EndConfirmations();
 
@@ -106,9 +106,9 @@
         seeEnds(8);
         confirmations.onStated();
         confirmations.onReported("g2", new Report(6, 0, false), NOW_MS);
-        confirmations.onReported("g3", new Report(6, 3, false), NOW_MS);
+        confirmations.onReported("g3", new Report(6, 4, false), NOW_MS);
         assertThat(confirmations.believed(NOW_MS)).isTrue();
-        assertThat(confirmations.report(NOW_MS)).contains(new Report(8, 3, false));
+        assertThat(confirmations.report(NOW_MS)).contains(new Report(8, 4, false));
         assertThat(confirmations.believed(NOW_MS + EndConfirmations.REPORT_VALIDITY_MS))
                 .isFalse();
     }
@@ -135,7 +135,7 @@
     @Test
     void believesNoEndAfterItsOwnRefutationWhateverOthersReport() {
         confirmations.onRefuted(NOW_MS);
-        confirmations.onReported("g2", new Report(20, 6, false), NOW_MS);
+        confirmations.onReported("g2", new Report(20, 8, false), NOW_MS);
         assertThat(confirmations.believed(NOW_MS)).isFalse();
     }
 }
