--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/EndConfirmations.java
@@ -119,6 +119,7 @@
      * Returns whether this gateway has seen an end refuted not long ago.
      *
      * @param nowMs current time, in milliseconds
+     * @return {@code true} if no end is to be believed by the habit of the service either
      */
     public boolean refuted(long nowMs) {
         return nowMs < refutedUntilMs;
@@ -151,6 +152,7 @@
      * Returns whether an end that nothing speaks against is believed if nobody can be asked.
      *
      * @param nowMs current time, in milliseconds
+     * @return {@code false} also while too little is known
      */
     public boolean believed(long nowMs) {
         reports.values().removeIf(received -> nowMs - received.receivedMs >= REPORT_VALIDITY_MS);
--- a/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
+++ b/kingcuproad-policy/src/main/java/org/kingcuproad/policy/gateway/RetryPolicy.java
@@ -53,6 +53,7 @@
      * @param sends number of upstreams that the request was sent to
      * @param mayHaveRun whether the request may have run at one of them
      * @param remainingMs time that the client will still wait, in milliseconds
+     * @return whether it may, or why not
      */
     public static RetryDecision decide(GatewayRoute route, int sends, boolean mayHaveRun, long remainingMs) {
         if (!route.retryable() && mayHaveRun) {
@@ -114,6 +115,7 @@
      *
      * @param progress progress of the request
      * @param nowMs current time, in milliseconds
+     * @return {@code true} if the upstream has probably stopped
      */
     public static boolean pauses(AttemptProgress progress, long nowMs) {
         return nowMs - progress.lastEventMs() > maxEventIntervalMs(progress);
