--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/AttemptRetries.java
@@ -59,20 +59,20 @@
     private RetryDecision afterFailure(Exchange exchange, long nowMs) {
         UnstatedEnd end = exchange.forwarded().unstatedEnd();
         return end == null
-                ? charged(withoutBudget(exchange, nowMs), nowMs)
+                ? charged(withoutBudget(exchange, nowMs), 1, nowMs)
                 : ofConfirmation(exchange, end.upstream(), nowMs);
     }
 
-    private RetryDecision charged(RetryDecision uncharged, long nowMs) {
-        return uncharged == RetryDecision.AGAIN && !budget.tryAcquire(nowMs) ? RetryDecision.BUDGET_SPENT : uncharged;
+    /** Charges a request that would be sent again, unless more than a share of the budget is spent. */
+    private RetryDecision charged(RetryDecision uncharged, double share, long nowMs) {
+        return uncharged == RetryDecision.AGAIN && !budget.tryAcquire(nowMs, share)
+                ? RetryDecision.BUDGET_SPENT
+                : uncharged;
     }
 
-    private RetryDecision chargedForConfirmation(RetryDecision uncharged, Exchange exchange, long nowMs) {
+    private double shareForConfirmation(Exchange exchange, long nowMs) {
         boolean believed = exchange.forwarded().unstatedEnd() != null && endConfirmations.believed(nowMs);
-        boolean optional = believed || exchange.confirmations() >= MAX_CONFIRMATIONS;
-        return uncharged == RetryDecision.AGAIN && !budget.tryAcquire(nowMs, optional ? OPTIONAL_SHARE : 1)
-                ? RetryDecision.BUDGET_SPENT
-                : uncharged;
+        return believed || exchange.confirmations() >= MAX_CONFIRMATIONS ? OPTIONAL_SHARE : 1;
     }
 
     private RetryDecision withoutBudget(Exchange exchange, long nowMs) {
@@ -85,11 +85,12 @@
 
     /** Decides whether another upstream is asked, or the same one once more if no other one can be. */
     private RetryDecision ofConfirmation(Exchange exchange, Upstream upstream, long nowMs) {
+        double share = shareForConfirmation(exchange, nowMs);
         RetryDecision elsewhere = withoutBudget(exchange, nowMs);
         if (elsewhere == RetryDecision.AGAIN || !confirmable(exchange, upstream, nowMs)) {
-            return chargedForConfirmation(elsewhere, exchange, nowMs);
+            return charged(elsewhere, share, nowMs);
         }
-        RetryDecision here = chargedForConfirmation(RetryDecision.AGAIN, exchange, nowMs);
+        RetryDecision here = charged(RetryDecision.AGAIN, share, nowMs);
         if (here == RetryDecision.AGAIN) {
             exchange.confirmAt(upstream.entry().id());
         }
