--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/EndJudge.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import org.kingcuproad.policy.gateway.AttemptProgress;
 import org.kingcuproad.policy.gateway.BodyEnd;
+import org.kingcuproad.policy.gateway.EndConfirmations;
 import org.kingcuproad.policy.gateway.EndedResponse;
 import org.kingcuproad.policy.gateway.FramingHabit;
 import org.kingcuproad.policy.gateway.GatewayRoute;
@@ -20,6 +21,7 @@
     private final ServiceDispatcher dispatcher;
     private final Upstream upstream;
     private final ForwardedResponse forwarded;
+    private final EndConfirmations confirmations;
     private final boolean unrepeatableStream;
     private final int crashesBefore;
     private final boolean asksForRest;
@@ -34,6 +36,7 @@
         this.dispatcher = dispatcher;
         this.upstream = upstream;
         this.forwarded = forwarded;
+        this.confirmations = dispatcher.unstatedEnds().confirmations();
         this.asksForRest = forwarded.unstatedEnd() != null;
         this.unrepeatableStream = route.kind() == RouteKind.STREAMING && !route.retryable();
         this.crashesBefore = upstream.crashes();
@@ -54,7 +57,7 @@
     /** Records an event that the client had not received. */
     void onAdvanced() {
         if (forwarded.unstatedEnd() != null) {
-            dispatcher.unstatedEnds().confirmations().onRefuted(dispatcher.nowMs());
+            confirmations.onRefuted(dispatcher.nowMs());
         }
     }
 
@@ -69,7 +72,7 @@
         pausedBeforeEnd = RetryPolicy.pauses(progress, dispatcher.nowMs());
         if (asksForRest && partialEvent && !advanced) {
             forwarded.withdrawUnstatedEnd();
-            dispatcher.unstatedEnds().confirmations().onRefuted(dispatcher.nowMs());
+            confirmations.onRefuted(dispatcher.nowMs());
         }
     }
 
@@ -88,7 +91,7 @@
             recordNoRest();
         } else if (!pausedBeforeEnd) {
             // A group cuts streams off some time after it has stopped, and its ranks go on listening.
-            dispatcher.unstatedEnds().confirmations().onOrderlyEnd(dispatcher.nowMs());
+            confirmations.onOrderlyEnd(dispatcher.nowMs());
             forwarded.onUnstatedEnd(new UnstatedEnd(upstream, crashesBefore, status, trailingBytes));
         }
     }
@@ -96,10 +99,10 @@
     /** Records that the response has ended without an event that the client had not received. */
     void recordNoRest() {
         if (asksForRest && framing == ResponseFraming.CONNECTION) {
-            dispatcher.unstatedEnds().confirmations().onOrderlyEnd(dispatcher.nowMs());
-            dispatcher.unstatedEnds().confirmations().onUnstated();
+            confirmations.onOrderlyEnd(dispatcher.nowMs());
+            confirmations.onUnstated();
         } else if (asksForRest) {
-            dispatcher.unstatedEnds().confirmations().onStated();
+            confirmations.onStated();
         }
     }
 
@@ -118,7 +121,7 @@
     void recordFailure() {
         if (!recorded && successful && framing == ResponseFraming.CONNECTION) {
             upstream.announcedEnds().onCutOff();
-            dispatcher.unstatedEnds().confirmations().onCutOff(dispatcher.nowMs());
+            confirmations.onCutOff(dispatcher.nowMs());
         }
     }
 
@@ -154,7 +157,7 @@
             return FramingHabit.Kind.ENDS_WITH_CONNECTION;
         }
         FramingHabit.Kind habit = dispatcher.framingHabit().kind();
-        boolean refuted = dispatcher.unstatedEnds().confirmations().refuted(dispatcher.nowMs());
+        boolean refuted = confirmations.refuted(dispatcher.nowMs());
         return habit == FramingHabit.Kind.ENDS_WITH_CONNECTION && refuted ? FramingHabit.Kind.UNKNOWN : habit;
     }
 
@@ -165,7 +168,7 @@
 
     /** Returns what is known of the upstream when it has been probed. */
     UpstreamLife life(ProbeResult result) {
-        if (result == ProbeResult.REFUSED || upstream.replaced() || upstream.crashes() > crashesBefore) {
+        if (result == ProbeResult.REFUSED || upstream.endedSince(crashesBefore)) {
             return UpstreamLife.ENDED;
         }
         if (dispatcher.anyRankCrashed()) {
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UnstatedEnd.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/UnstatedEnd.java
@@ -12,6 +12,6 @@
 
     /** Returns whether a crash or a replacement of the upstream has become known since. */
     boolean contradicted() {
-        return upstream.replaced() || upstream.crashes() > crashesBefore;
+        return upstream.endedSince(crashesBefore);
     }
 }
--- a/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
+++ b/kingcuproad-gateway/src/main/java/org/kingcuproad/gateway/Upstream.java
@@ -88,6 +88,15 @@
         return crashes;
     }
 
+    /**
+     * Returns whether the process that ran earlier is known to have ended.
+     *
+     * @param crashesBefore crashes that were known then
+     */
+    boolean endedSince(int crashesBefore) {
+        return replaced || crashes > crashesBefore;
+    }
+
     /** Records that a process listens at the address, which may have started again before the store says so. */
     void setListening() {
         crashed = false;
