--- a/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/WholeStreamLossTest.java
+++ b/kingcuproad-gateway/src/test/java/org/kingcuproad/gateway/WholeStreamLossTest.java
@@ -195,17 +195,14 @@
     /** No answer states an end, and only another gateway knows of streams that were confirmed. */
     @Test
     void losesNoWholeStreamOfAGatewayThatHasJustStarted() throws Exception {
-        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-                DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            int port = free.getLocalPort();
-            free.close();
-            fixture.setPeerPort(port);
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.2"))) {
+            fixture.setPeerPort(peer.getLocalPort());
             startWith((request, output) ->
                     (isFor(request, "unstated") ? unframed(EVENTS) : chunked()).respond(request, output));
             streams("stated", 1);
             byte[] report = ByteBufUtil.getBytes(
                     EndReportCodec.encode(new EndReport("g2", Map.of(GatewayFixture.SERVICE, SEEN_ELSEWHERE))));
-            peer.send(new DatagramPacket(report, report.length, InetAddress.getLoopbackAddress(), port));
+            peer.send(new DatagramPacket(report, report.length, InetAddress.getLoopbackAddress(), peer.getLocalPort()));
 
             assertThat(stream("unstated")).endsWith(TERMINATOR);
         }
